--- /dev/null
+++ b/export_test.go
@@ -0,0 +1,10 @@
+package saltmast
+
+// StateSize counts what a Balancer keeps: requests, held ones, timers, keys and attempts out.
+func (b *Balancer) StateSize() int {
+	n := len(b.requests) + len(b.held) + len(b.timers) + len(b.lines) + len(b.resting)
+	for _, t := range b.backends {
+		n += len(t.out)
+	}
+	return n
+}
--- /dev/null
+++ b/saltmast.go
@@ -0,0 +1,937 @@
+package saltmast
+
+// This is the decision module: every choice a balancer makes is in this file.
+// Its interface (settings, events, actions) is in api.go, the types of its state
+// are in state.go. Reading order: constants, event dispatch (Step), picking, retry
+// and the repeat rule, the order of a key, health, cold start, list following, and
+// last send and finish, which alone start attempts and end requests, and check the
+// rules.
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Constants are dimensionless; every scale comes from the settings or from what
+// is observed.
+const (
+	bucketCap     = 100.0 // retry tokens at the most: a quiet balancer funds 20 retries at once, not 100
+	retryCost     = 5.0   // tokens for a retry ...
+	timeoutCost   = 10.0  // ... and for one after a time-out, which may mean a deeper trouble
+	successRefill = 1.0   // tokens that a served attempt brings back
+
+	backoffUnit    = 1.0 / 32 // of the class's aim: a one-second unit would outlast most aims
+	backoffCeiling = 8.0      // the longest backoff, in units
+
+	silentAfter  = 0.35  // of the aim: no answer from a backend for so long, and it is taken for silent
+	silentDevs   = 5.0   // mean deviations over the mean latency, after which an attempt is tried again
+	silentMeans  = 6.0   // and at least so many mean latencies, which are long when all is crowded
+	smooth       = 0.1   // weight of a new sample in a running mean, about the last 20 samples
+	priorSamples = 2.0   // answers that the mean of all counts for in a backend's slowness at the start
+	slowBound    = 8.0   // one sample says at most that a backend is so many times slower than the mean
+	strikeHeal   = 0.25  // strikes that a served attempt takes back: one error in five keeps them growing
+	shunFor      = 8.0   // aims for which a silent backend is first left out for a class
+	strikeCap    = 5.0   // longest ejection is 2^(cap-1) times the first
+	heavy        = 2.0   // a cold backend gets no request of more than so many times the mean work
+	crossWeight  = 200.0 // an idle backend in another zone counts less by so many times the price of crossing
+	double       = 2     // attempts that one gets before a connection to a further one is opened
+	workingSet   = 2     // backends an agent keeps connections to, if its traffic needs no more: a choice
+
+	// Where keys draw the choice, backends outside the working set count alike while they answer in
+	// time about as often; else some trouble is about, and those known to answer come first.
+	trustGap = 0.1
+
+	aimedDelay = 0.35 // mean latency, as a share of the aim, above which less is kept in flight: less
+	// refuses uneven work without need, more lets crowded servers slow down
+	aimedRise    = 2.0  // and above so many times its low: servers may slow down when crowded
+	outlier      = 4.0  // one answer counts at most as so many times the usual latency
+	sparseBelow  = 0.6  // part of the least limit, in attempts, below which an agent has no such limit
+	throttleAt   = 1.3  // requests sent for each answered in time: more wastes work on late answers ...
+	crowdAt      = 1.15 // ... and above so many, zones are crossed freely ...
+	throttleFree = 4.0  // ... beyond the first few
+	throttleSpan = 20.0 // aims over which both are counted
+	limitCut     = 0.9  // one cut of the in-flight limit
+	limitGrow    = 0.7  // and its growth, in attempts per backend for each round of answers
+	floorPerBack = 4.0  // where it starts, for all agents together per backend, and the least it
+	// falls to: less would leave cores idle, and a start with more would crowd servers at once
+	backCap     = 3.0  // no backend holds more than so many mean shares of the limit
+	holdMargin  = 2.0  // a held request leaves when fewer than so many mean latencies remain to its aim
+	holdAtMost  = 0.75 // of the aim; a request may always be held for the rest of it
+	repeatValue = 0.1  // value of a client's repeat against a first try: most of its aim has passed
+)
+
+// New returns a balancer with no state. All its random choices come from seed.
+func New(s Settings, seed uint64) (*Balancer, error) {
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	b := &Balancer{s: s, rng: rand.New(rand.NewPCG(seed, 0)), tokens: bucketCap, vary: 1,
+		base: aimedDelay / aimedRise, perBack: floorPerBack, byID: map[string]*backend{},
+		requests: map[string]*request{}, timers: map[int64]*request{}, lines: map[string]*line{}}
+	b.s.MaxAttempts = max(1, s.MaxAttempts)
+	if s.ColdShare == 0 {
+		b.s.ColdShare = 1
+	}
+	for _, c := range s.Classes {
+		b.classes = append(b.classes, classState{Class: c, latency: float64(c.Aim) / 4,
+			freshOK: 1, knownOK: 1})
+	}
+	return b, nil
+}
+
+// Step takes what has happened by now, in order, and returns what to do.
+func (b *Balancer) Step(now time.Duration, events []Event) []Action {
+	b.now, b.actions = max(now, b.now), nil
+	b.endRests()
+	f := math.Exp(-float64(b.now-b.decayAt) / (throttleSpan * float64(b.classes[0].Aim)))
+	b.sent, b.inTime, b.decayAt = b.sent*f, b.inTime*f, b.now
+	b.measure()
+	for _, e := range events {
+		switch e := e.(type) {
+		case Request:
+			b.onRequest(e)
+		case Outcome:
+			b.onOutcome(e)
+		case TimerFired:
+			b.onTimer(e.Token)
+		case List:
+			b.onList(e)
+			b.measure()
+		case StreamStarted:
+			if r := b.requests[e.Request]; r != nil && !r.ended {
+				r.stream = true
+			}
+		case Abandoned:
+			if r := b.requests[e.Request]; r != nil {
+				b.close(r)
+			}
+		}
+	}
+	b.releaseHeld()
+	return b.actions
+}
+
+func (b *Balancer) onRequest(e Request) {
+	if e.Class < 0 || e.Class >= len(b.classes) || b.requests[e.ID] != nil {
+		return
+	}
+	c := &b.classes[e.Class]
+	r := &request{id: e.ID, class: e.Class, aim: b.now + min(c.Aim, e.Left),
+		deadline: b.now + e.Left, repeat: e.Repeat}
+	// A client gives its tries a usual patience, its last one all that is left of its deadline.
+	// A try with any other patience therefore tells how long ago the client began.
+	if c.patience == 0 {
+		c.patience = e.Left
+	}
+	off := e.Left - c.patience
+	if off > 2*b.s.Tick || off < -2*b.s.Tick {
+		r.repeat = true
+		r.aim -= max(0, c.Deadline-e.Left)
+	}
+	if !e.Repeat {
+		c.patience += min(max(off, -b.s.Tick/4), b.s.Tick/4) // towards the median
+	}
+	if r.work = float64(e.Work); r.work > 0 {
+		c.work = blend(c.work, r.work)
+	}
+	for i := range b.classes { // decay by arrivals: the last few hundred requests count
+		b.classes[i].arrived *= 1 - smooth/20
+		b.classes[i].answered *= 1 - smooth/20
+	}
+	c.arrived++
+	b.requests[e.ID] = r
+	if e.Key != "" {
+		r.key = hash(e.Key)
+	}
+	b.lineUp(r, e.Key)
+	b.hold(r)
+}
+
+func (b *Balancer) onOutcome(e Outcome) {
+	r := b.requests[e.Request]
+	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || !r.attempts[e.Attempt].open {
+		return
+	}
+	a := r.attempts[e.Attempt]
+	a.open = false
+	r.open--
+	b.inFlight--
+	a.b.drop(a)
+	if e.Result == TimedOut || e.Result == Reset || e.Result == Cancelled {
+		r.rest = b.now + b.s.KeyRest
+	}
+	if b.neverRan(e.Result) {
+		if r.risky--; r.risky == 0 {
+			r.anchor = nil
+		}
+	}
+	c := &b.classes[r.class]
+	b.observe(r, a, e)
+	if e.Result == OK && !r.ended {
+		b.tokens = min(bucketCap, b.tokens+successRefill)
+		if b.now <= r.aim {
+			c.answered++
+			b.inTime++
+		}
+		for i, o := range r.attempts {
+			if o.open && b.s.MayCancel {
+				b.actions = append(b.actions, Cancel{Request: r.id, Attempt: i})
+			}
+		}
+	}
+	if e.Done || e.Result == OK || r.ended {
+		b.close(r)
+		return
+	}
+	r.failed = a.b
+	if r.open == 0 && !r.waiting && !r.holding {
+		b.retry(r, e.Result)
+	}
+}
+
+func (b *Balancer) onTimer(token int64) {
+	if token == b.askToken && token != 0 {
+		b.askToken = 0
+		b.actions = append(b.actions, Subscribe{})
+		return
+	}
+	r := b.timers[token]
+	delete(b.timers, token)
+	if r == nil || r.ended || token != r.timer {
+		return
+	}
+	r.timer = 0 // a held request that may stay longer than it seemed sets another one: lost otherwise
+	switch {
+	case r.waiting:
+		r.waiting = false
+		b.hold(r)
+	case r.open > 0 && !r.holding && !r.stream:
+		b.onSilence(r)
+	}
+}
+
+// onSilence tries a request again whose last attempt has had no answer within its patience. Guards
+// against lost answers, hanging backends and those that leave one class unanswered. The bucket is
+// charged as after a time-out, so that it runs dry under overload; the first attempt may still answer.
+func (b *Balancer) onSilence(r *request) {
+	a := r.attempts[len(r.attempts)-1]
+	r.failed = a.b
+	a.b.linked = false
+	b.shun(a.b, r.class)
+	b.retry(r, TimedOut)
+}
+
+func (b *Balancer) timer(r *request, at time.Duration) {
+	r.timer = b.alarm(at - b.now)
+	b.timers[r.timer] = r
+}
+
+func (b *Balancer) alarm(wait time.Duration) int64 {
+	b.token++
+	b.actions = append(b.actions, SetTimer{After: wait, Token: b.token})
+	return b.token
+}
+
+// ---- Picking ----
+
+// hold lets a request wait for room; one that finds some leaves in the same step.
+func (b *Balancer) hold(r *request) {
+	r.holding = true
+	b.held = append(b.held, r)
+}
+
+func (b *Balancer) unhold(r *request) {
+	r.holding = false
+	for i, h := range b.held {
+		if h == r {
+			b.held = append(b.held[:i], b.held[i+1:]...)
+			return
+		}
+	}
+}
+
+// releaseHeld sends what is held while there is room: first tries before clients'
+// repeats, the most valuable class first, within it the newest, which has the most
+// time left. Waiting here costs the backends nothing; it ends when an answer within
+// the aim is out of reach.
+func (b *Balancer) releaseHeld() {
+	if len(b.held) == 0 {
+		return
+	}
+	for i := range b.classes {
+		b.classes[i].value = b.value(i)
+	}
+	for float64(b.inFlight-b.stuck) < b.limit() && !b.throttled() {
+		best, value := -1, 0.0
+		for i, r := range b.held {
+			if r.passed || !b.inTurn(r) {
+				continue
+			}
+			v := b.classes[r.class].value
+			if r.repeat {
+				v *= repeatValue
+			}
+			if r.aim-b.now < time.Duration(b.expected(r)/2) {
+				v *= b.classes[r.class].LateWorth
+			}
+			if best < 0 || v >= value {
+				best, value = i, v
+			}
+		}
+		if best < 0 {
+			break
+		}
+		r := b.held[best]
+		if t := b.pick(r); t != nil {
+			b.unhold(r)
+			b.send(r, t)
+		} else {
+			r.passed = true
+		}
+	}
+	for i := len(b.held) - 1; i >= 0; i-- {
+		r := b.held[i]
+		need := min(holdMargin*b.expected(r), holdAtMost*float64(b.classes[r.class].Aim))
+		give := min(r.aim, r.deadline) - time.Duration(need)
+		r.passed = false
+		if r.repeat || give <= b.now {
+			b.unhold(r)
+			b.giveUp(r)
+		} else if r.timer == 0 {
+			b.timer(r, give)
+		}
+	}
+}
+
+// value is what a unit of work spent on a class now adds to the operator's goal.
+func (b *Balancer) value(class int) float64 {
+	total, worst, low := 0.0, -1, math.Inf(1)
+	for i := range b.classes {
+		c := &b.classes[i]
+		total += c.arrived * c.Worth * b.unit(c)
+		if share := c.share(); share < low {
+			worst, low = i, share
+		}
+	}
+	c := &b.classes[class]
+	v := (b.s.GoalWhole + b.s.GoalWindow) * c.Worth * b.unit(c) / c.latency / max(total, 1e-9)
+	if class == worst {
+		v += b.s.GoalClass / (max(c.arrived, 1) * c.latency)
+	}
+	return v
+}
+
+// share is the share of a class that was lately answered within its aim.
+func (c *classState) share() float64 { return (c.answered + 1) / (c.arrived + 1) }
+
+func (b *Balancer) unit(c *classState) float64 {
+	if b.s.ByWork {
+		return c.latency
+	}
+	return 1
+}
+
+// pick chooses a backend: one where this balancer has nothing in flight, at
+// random; else the one with the fewest in flight; never the one that just failed
+// unless it is the only one. nil means that none may be used now.
+func (b *Balancer) pick(r *request) *backend {
+	mean, seen := 0.0, 0
+	for _, t := range b.backends {
+		if t.State == Up && t.seen {
+			mean += float64(len(t.out))
+			seen++
+		}
+	}
+	mean /= float64(max(seen, 1))
+	most := max(double, backCap*b.perBack/float64(b.s.Balancers))
+	crowded := b.now-b.cutAt <= b.s.RampTime // then crossing is worth its price
+	if b.sparse(1) {
+		crowded = b.sent > crowdAt*b.inTime+throttleFree
+	}
+	var idle, fresh, few, last *backend
+	far := math.Inf(1)
+	firstIdle, firstFresh, least, mild, links := far, far, far, far, 0
+	for _, t := range b.backends {
+		if t.State != Up || !b.mayRepeat(r, t) || t == r.failed && b.up > 1 || b.now < t.fullTill ||
+			float64(len(t.out)) >= most || !b.coldRoom(t, r) {
+			continue
+		}
+		if !b.healthy(t, r) {
+			if m := t.strikes + b.rng.Float64() + float64(len(t.out)); m < mild {
+				last, mild = t, m
+			}
+			continue
+		}
+		load := float64(len(t.out))
+		if !t.seen {
+			load = mean // a new one gets no rush
+		}
+		slow := b.slowness(t)
+		linked := b.isLinked(t)
+		if linked {
+			links++
+		}
+		if load < 1 || !linked {
+			// Departure: an even choice among idle backends would load slow ones as much as fast
+			// ones; each counts by the inverse cube of its observed slowness. Acts when speeds differ.
+			w := t.size() * b.warmth(t) / (slow * slow * slow)
+			if t.Zone != b.s.Zone && !crowded {
+				w /= 1 + crossWeight*b.s.CrossZonePrice
+			}
+			// Departure: where backends serve a key that they lately met with less work, the draw comes
+			// from the key: all agents choose alike, with no word between them, among those idle.
+			u := b.rng.Float64()
+			if b.s.WarmKeys && r.key != 0 {
+				u = keyedDraw(t.hash, r.key)
+			}
+			wait := -math.Log(max(u, 1e-12)) / w // the least is a choice by weight
+			if linked && wait < firstIdle {
+				idle, firstIdle = t, wait
+			} else if !linked && wait < firstFresh {
+				fresh, firstFresh = t, wait
+			}
+			continue
+		}
+		// Departure: in-flight counts are weighed by slowness for the same reason.
+		if score := (load + 1) * slow / b.warmth(t) * (1 + 0.01*b.rng.Float64()); score < least {
+			few, least = t, score
+		}
+	}
+	// Departure: an even choice among all idle backends would open a connection from every agent
+	// to every backend; a backend takes only so many, and each costs it work. An idle backend with
+	// an open connection comes first, once there are enough of them to choose from; then one of
+	// these with little in flight; only then a further connection.
+	trusted := b.s.WarmKeys && b.classes[r.class].freshOK >= b.classes[r.class].knownOK-trustGap
+	switch {
+	case fresh != nil && (links < workingSet || trusted && firstFresh < firstIdle):
+		return fresh
+	case idle != nil:
+		return idle
+	case fresh != nil && (few == nil || len(few.out) >= double):
+		return fresh
+	case few != nil:
+		return few
+	}
+	return last // all are ejected: a first attempt still goes out
+}
+
+// isLinked reports whether t is in the working set: an attempt needs no new connection there.
+func (b *Balancer) isLinked(t *backend) bool {
+	return len(t.out) > 0 || t.linked && (b.s.IdleClose == 0 || b.now-t.usedAt < b.s.IdleClose)
+}
+
+// size is what the list says of a backend's size, against others; 1 where it says nothing.
+func (t *backend) size() float64 {
+	if t.Weight > 0 {
+		return t.Weight
+	}
+	return 1
+}
+
+// slowness is how much longer this backend takes than the mean, by its answers or
+// by the wait of its oldest attempt if that is worse (a stall shows before any answer).
+func (b *Balancer) slowness(t *backend) float64 {
+	s := t.slow
+	if s == 0 {
+		s = 1
+	}
+	if len(t.out) > 0 {
+		s = max(s, float64(b.now-t.out[0].sent)/t.out[0].cost/2)
+	}
+	return s
+}
+
+// expected is the mean latency for a request of this class and told work.
+func (b *Balancer) expected(r *request) float64 {
+	c := &b.classes[r.class]
+	if r.work > 0 && c.work > 0 {
+		return c.latency * r.work / c.work
+	}
+	return c.latency
+}
+
+// ---- Retry ----
+
+// awaitSilence sets the time at which an attempt without answer is followed by another: when so few
+// answers take longer that it is likelier lost than slow, and another can still come within the aim.
+// A heavy request is heavy again elsewhere: where work varies much, that leaves no time, and rightly.
+// Only where no limit binds: under a limit a second attempt takes the room of another request.
+func (b *Balancer) awaitSilence(r *request) {
+	r.timer = 0 // voids the one it was held with
+	c := &b.classes[r.class]
+	l := b.expected(r)
+	wait := l * (1 + silentDevs*b.vary)
+	if b.sparse(sparseBelow) && r.open == 1 && len(r.attempts) < b.s.MaxAttempts && b.s.SecondCopies &&
+		c.Effect != Unsafe && b.now+time.Duration(wait+l) <= r.aim {
+		b.timer(r, b.now+time.Duration(wait))
+	}
+}
+
+// retry ends a failed attempt's request or schedules the next attempt.
+func (b *Balancer) retry(r *request, res Result) {
+	cost := retryCost
+	if res == TimedOut {
+		cost = timeoutCost
+	}
+	c := &b.classes[r.class]
+	wait := time.Duration(b.rng.Float64() * min(math.Exp2(float64(r.retries)), backoffCeiling) *
+		backoffUnit * float64(c.Aim))
+	at := b.now + wait
+	possible := false
+	for _, t := range b.backends {
+		possible = possible || t.State == Up && b.mayRepeat(r, t)
+	}
+	if !possible || b.tokens < cost || at >= r.deadline || res == NotSent {
+		b.giveUp(r)
+		return
+	}
+	b.tokens -= cost
+	r.retries++
+	r.waiting = true
+	b.timer(r, at)
+}
+
+// giveUp ends a request for which nothing more can be done, unless an attempt may still answer it.
+func (b *Balancer) giveUp(r *request) {
+	if r.open == 0 {
+		b.finish(r)
+	}
+}
+
+// mayRepeat is the repeat rule: whether a (further) attempt of r may go to t.
+func (b *Balancer) mayRepeat(r *request, t *backend) bool {
+	if r.ended || r.stream || len(r.attempts) >= b.s.MaxAttempts || r.open > 0 && !b.s.SecondCopies {
+		return false
+	}
+	c := &b.classes[r.class]
+	if c.Effect == Safe || r.risky == 0 {
+		return true
+	}
+	if c.Effect == Unsafe || b.now-r.anchor.sent >= c.Window {
+		return false
+	}
+	switch c.Group {
+	case GroupZone:
+		return t.Zone == r.anchor.b.Zone
+	case GroupCell:
+		return t.Cell == r.anchor.b.Cell
+	}
+	return true
+}
+
+// neverRan reports whether a result proves that the attempt had no effect.
+func (b *Balancer) neverRan(res Result) bool {
+	return res.NeverRan() && !(res == Full && b.s.FullNoProof)
+}
+
+// ---- Order of a key ----
+
+// inTurn is the order rule: whether all that was taken for the key of r before it is over, each
+// attempt of it has its outcome, and the key has rested.
+func (b *Balancer) inTurn(r *request) bool {
+	return r.line == nil || r.line.queue[0] == r && b.now >= r.line.rest
+}
+
+// lineUp puts a new request behind all others of its key.
+func (b *Balancer) lineUp(r *request, key string) {
+	if key == "" || !b.classes[r.class].KeepOrder {
+		return
+	}
+	if r.line = b.lines[key]; r.line == nil {
+		r.line = &line{key: key}
+		b.lines[key] = r.line
+	}
+	r.line.queue = append(r.line.queue, r)
+}
+
+// leaveLine takes out a request that is over. The next one goes in this step, or after the rest.
+func (b *Balancer) leaveLine(r *request) {
+	l := r.line
+	if l == nil {
+		return
+	}
+	r.line = nil
+	l.queue = slices.Delete(l.queue, slices.Index(l.queue, r), slices.Index(l.queue, r)+1)
+	switch {
+	case r.rest > b.now: // the head, since no other was sent; rests end in the order in which they begin
+		l.rest = r.rest
+		b.resting = append(b.resting, l)
+		b.alarm(l.rest - b.now + time.Microsecond) // the agent's timers may be that coarse
+	case len(l.queue) == 0 && l.rest <= b.now:
+		delete(b.lines, l.key)
+	}
+}
+
+// endRests forgets keys that have rested and are not asked for.
+func (b *Balancer) endRests() {
+	for len(b.resting) > 0 && b.resting[0].rest <= b.now {
+		l := b.resting[0]
+		b.resting = b.resting[1:]
+		if len(l.queue) == 0 && l.rest <= b.now && b.lines[l.key] == l {
+			delete(b.lines, l.key)
+		}
+	}
+}
+
+// ---- Health ----
+
+// observe learns from the outcome of an attempt.
+func (b *Balancer) observe(r *request, a *attempt, e Outcome) {
+	t, c, lat := a.b, &b.classes[r.class], float64(e.Latency)
+	// Incident iec25a3: agents stayed with the backends of a small fleet while it grew fivefold. One
+	// that turns work away or answers nothing leaves the working set, though still connected.
+	good := 0.0
+	if e.Result == OK && b.now <= r.aim {
+		good = 1
+	}
+	if a.fresh {
+		c.freshOK += smooth * (good - c.freshOK)
+	} else {
+		c.knownOK += smooth * (good - c.knownOK)
+		c.freshOK += smooth / 10 * (good - c.freshOK) // forgets, since few fresh ones are tried meanwhile
+	}
+	t.linked, t.usedAt = e.Result == OK || e.Result == Errored, b.now
+	switch e.Result {
+	case OK:
+		if t.down && t.warmFrom < a.sent { // it came back before the list told: treat it as just started
+			b.start(t, b.now)
+		}
+		t.down = false
+		if !t.cold {
+			b.doneWork = b.decayed() + a.cost
+		}
+		t.strikes = max(0, t.strikes-strikeHeal)
+		t.shuns[r.class] = shun{}
+		t.lastOK = b.now
+		t.seen = true
+		b.learnSpeed(t, lat/a.cost)
+		if r.work > 0 && c.work > 0 {
+			lat *= c.work / r.work
+		}
+		b.vary = blend(b.vary, math.Abs(lat/c.latency-1))
+		c.latency = blend(c.latency, max(lat, 1))
+		b.pace(float64(e.Latency) / float64(c.Aim))
+	case Full:
+		t.fullTill = b.now + time.Duration(b.rng.Float64()*c.latency)
+		b.pace(1)
+	case TimedOut:
+		b.shun(t, r.class)
+		if t.lastOK < a.sent { // nothing came back since: more than a slow request, and no queue
+			b.strike(t, a, c)
+		} else {
+			b.pace(max(1, lat/float64(c.Aim)))
+			b.learnSpeed(t, lat/a.cost) // at least so slow
+		}
+	case Errored, ConnectFailed, Reset:
+		t.down = t.down || e.Result != Errored
+		b.strike(t, a, c)
+	}
+}
+
+// learnSpeed takes one latency, as a multiple of the expected, into a backend's slowness.
+// The first few weigh more, since a quiet agent sees an answer of each only now and then.
+func (b *Balancer) learnSpeed(t *backend, sample float64) {
+	if t.slow == 0 {
+		t.slow = 1
+	}
+	t.samples++
+	t.slow += max(smooth, 1/(t.samples+priorSamples)) * (min(sample, slowBound) - t.slow)
+}
+
+// strike ejects a backend for a while that doubles with each further strike.
+// Departure: a backend that fails fast is always idle and would draw all traffic.
+// It acts on the first error, since errors are rare where nothing is wrong; what
+// was sent before the last strike adds nothing.
+func (b *Balancer) strike(t *backend, a *attempt, c *classState) {
+	if a.sent < t.struckAt {
+		return
+	}
+	t.strikes = min(t.strikes+1, strikeCap)
+	t.struckAt = b.now
+	t.ejected = b.now + time.Duration(math.Exp2(t.strikes-1)*(0.75+0.5*b.rng.Float64())*float64(c.Aim))
+}
+
+// shun leaves a backend out for one class for a while that doubles with each further silence of it.
+// Guards against backends that leave one class unanswered and serve the others, on which they are kept.
+// Acts only for a class that fares clearly worse than another: where answers of all classes get lost,
+// leaving backends out would crowd the rest for nothing.
+func (b *Balancer) shun(t *backend, class int) {
+	best := 0.0
+	for i := range b.classes {
+		best = max(best, b.classes[i].share())
+	}
+	if b.classes[class].share() > best-trustGap {
+		return
+	}
+	s := &t.shuns[class]
+	s.fails = min(s.fails+1, strikeCap)
+	s.till = b.now + time.Duration(shunFor*math.Exp2(s.fails-1)*float64(b.classes[class].Aim))
+}
+
+// silent reports whether t has answered nothing since it was sent its oldest open attempt, for
+// longer than a queue within the aims would explain. What hangs there must not use up the room of
+// a quiet agent, which would refuse all else until its client leaves.
+func (b *Balancer) silent(t *backend) bool {
+	return len(t.out) > 0 && t.lastOK < t.out[0].sent && b.now-t.out[0].sent > t.out[0].patience
+}
+
+// healthy reports whether t may get r as ordinary traffic. After an ejection it
+// gets one attempt at a time until it has healed: of requests that may be repeated,
+// and of others only where none of these came for as long again.
+func (b *Balancer) healthy(t *backend, r *request) bool {
+	if b.now < t.ejected || b.silent(t) || b.now < t.shuns[r.class].till {
+		return false
+	}
+	if t.strikes == 0 {
+		return true
+	}
+	safe := b.classes[r.class].Effect != Unsafe || b.now >= 2*t.ejected-t.struckAt
+	return safe && len(t.out) == 0
+}
+
+// pace moves the limit on attempts in flight by the latency seen, as a share of
+// the aim: down when the running mean passes the aimed share, up while it binds.
+// Departure: beyond it requests are held, then refused, since a queue that
+// outlasts the aims serves nobody. The floor is this agent's share of a few
+// attempts per backend, so that a fleet that is slow without a queue stays in use.
+func (b *Balancer) pace(share float64) {
+	// The first few answers set the usual latency: an agent that held a crowded fleet's for usual
+	// would see no crowd until servers that slow down when crowded had done so (icaaa88, ic83025).
+	if b.answers++; b.answers <= 1/smooth {
+		b.delay += (min(share, 2) - b.delay) / b.answers
+		b.base = b.delay
+		return
+	}
+	// The mean spans what is in flight at once: over fewer samples, chance alone would cut a
+	// busy agent's limit. One heavy request says no more than that it was heavy.
+	weight := min(smooth, 1/b.limit())
+	b.delay += weight * (min(share, outlier*b.base, 2) - b.delay)
+	low := b.delay - b.base
+	if low > 0 {
+		low /= 100 // the low rises a hundred times slower than it falls
+	}
+	b.base += weight * smooth * low
+	aimed := min(aimedDelay, aimedRise*b.base)
+	switch {
+	case b.delay > aimed && b.now-b.cutAt > time.Duration(b.classes[0].latency):
+		b.perBack = max(floorPerBack, b.perBack*limitCut)
+		b.cutAt = b.now
+	case b.delay < aimed && float64(b.inFlight-b.stuck)+1 >= b.limit()*0.9:
+		b.perBack += limitGrow / b.limit()
+	}
+}
+
+// limit is what may be in flight now; it follows the list as the fleet grows and shrinks,
+// and a cold backend counts by its warmth.
+// Without peers each agent's part goes by head count, at least one attempt.
+// Departure: where each agent's part of even the least limit is well under one attempt, a limit of
+// one would hold up a quiet agent's request behind any slow one, and still let all together crowd
+// the backends; there the throttle acts alone.
+func (b *Balancer) limit() float64 {
+	if b.sparse(sparseBelow) {
+		return math.Inf(1)
+	}
+	return max(1, b.part())
+}
+
+// throttled reports whether too few of the requests sent lately were answered within their aim.
+// Incidents i783cc5 and i84e735: a lost zone or a shrunken fleet leaves many agents to few backends,
+// and one attempt each is too much. Departure: acts where an agent's part is under one attempt, and
+// leaves it the share of its traffic that the backends answer in time, whatever keeps them from it.
+func (b *Balancer) throttled() bool {
+	return b.sparse(1) && b.sent >= throttleAt*b.inTime+throttleFree
+}
+
+// sparse reports whether an agent's part of the least limit is under so many attempts.
+func (b *Balancer) sparse(part float64) bool {
+	return floorPerBack*float64(b.up) < part*float64(b.s.Balancers)
+}
+
+func (b *Balancer) part() float64 { return b.perBack * b.capacity / float64(b.s.Balancers) }
+
+// ---- Cold start ----
+
+// start notes that a backend's process started at a time learned now.
+func (b *Balancer) start(t *backend, at time.Duration) {
+	t.warmFrom, t.cold, t.seen, t.slow, t.samples, t.linked = at, true, false, 0, 0, false
+	// The first request of each agent comes when a random part of its cost has been earned: with none
+	// to earn, a thousand quiet agents would each send one to a newcomer at once.
+	t.budget, t.budgetAt = -b.rng.Float64()*b.classes[0].latency, b.now
+}
+
+// warmth is the share of its full capacity that a backend surely has by now.
+func (b *Balancer) warmth(t *backend) float64 {
+	if !t.cold {
+		return 1
+	}
+	age := b.now - t.warmFrom
+	if age >= b.s.RampTime {
+		t.cold = false
+		return 1
+	}
+	return b.s.ColdShare + (1-b.s.ColdShare)*max(0, float64(age)/float64(b.s.RampTime))
+}
+
+// measure sums up what the backends that are up, and not ejected or down, can do.
+func (b *Balancer) measure() {
+	b.up, b.warm, b.capacity, b.stuck = 0, 0, 0, 0
+	for _, t := range b.backends {
+		if t.State == Up {
+			b.up++
+			if !t.cold {
+				b.warm++
+			}
+		}
+		usable := t.State == Up && !t.down && b.now >= t.ejected && !b.silent(t)
+		if usable {
+			b.capacity += b.warmth(t)
+		}
+		for _, a := range t.out {
+			if !usable || b.now-a.sent > a.patience {
+				b.stuck++
+			}
+		}
+	}
+}
+
+// coldRoom reports whether a cold backend may get this request: each agent sends it
+// no more work than what a warm one serves for it, times warmth, times the root of the
+// stated multiple. All together then stay as far below the multiple as they may be above
+// the sure capacity: most backends have more than that, and under overload it is needed.
+func (b *Balancer) coldRoom(t *backend, r *request) bool {
+	w := b.warmth(t)
+	if !t.cold {
+		return true
+	}
+	cost := b.expected(r)
+	mean := b.classes[r.class].latency
+	rate := b.decayed() / float64(b.s.FallWindow+1) / float64(max(b.warm, 1))
+	share := w * math.Sqrt(max(1, b.s.FallMultiple))
+	t.budget = min(t.budget+share*rate*float64(b.now-t.budgetAt), mean)
+	t.budgetAt = b.now
+	return t.budget > 0 && cost <= heavy*mean
+}
+
+// decayed is the work lately served by warm backends, over about one fall window.
+func (b *Balancer) decayed() float64 {
+	b.doneWork *= math.Exp(-float64(b.now-b.doneAt) / float64(b.s.FallWindow+1))
+	b.doneAt = b.now
+	return b.doneWork
+}
+
+// ---- List following ----
+
+func (b *Balancer) onList(e List) {
+	if e.Kind == ListFailed && !b.s.Subscribe {
+		return
+	}
+	if e.Kind == ListFailed {
+		// Asked again after an exponential, fully jittered wait.
+		b.askFails++
+		unit := float64(b.s.AskWithin) / 64
+		b.askToken = b.alarm(time.Duration(b.rng.Float64() * unit * math.Exp2(float64(min(b.askFails, 4)))))
+		return
+	}
+	if e.Kind == ListCached && b.s.Subscribe {
+		// Spread in time, since all agents may start at once.
+		b.askToken = b.alarm(time.Duration(b.rng.Float64() * float64(b.s.AskWithin) / 64))
+	} else {
+		b.askFails = 0
+	}
+	full := e.Kind != ListDelta
+	listed := map[string]bool{}
+	for _, n := range e.Backends {
+		listed[n.ID] = true
+		t := b.byID[n.ID]
+		if t == nil {
+			t = &backend{Backend: n, hash: hash(n.ID), shuns: make([]shun, len(b.classes))}
+			b.byID[n.ID] = t
+			b.backends = append(b.backends, t)
+			if n.Started > 0 {
+				b.start(t, n.Started)
+			}
+			continue
+		}
+		if n.Started > t.Started {
+			b.start(t, max(n.Started, t.warmFrom))
+			t.strikes, t.ejected, t.down = 0, 0, false
+		}
+		t.Backend = n
+	}
+	for _, t := range b.backends {
+		if full && !listed[t.ID] {
+			t.State = Gone
+		}
+	}
+}
+
+// ---- Attempts and final answers ----
+
+// send starts an attempt. Nothing else does; the rules are checked here last.
+func (b *Balancer) send(r *request, t *backend) {
+	if t.State != Up || !b.mayRepeat(r, t) || !b.inTurn(r) || b.now >= r.deadline {
+		b.finish(r)
+		return
+	}
+	a := &attempt{b: t, sent: b.now, fresh: !b.isLinked(t), cost: max(b.expected(r), 1), open: true,
+		patience: time.Duration(max(silentAfter*float64(b.classes[r.class].Aim), silentMeans*b.expected(r)))}
+	r.attempts = append(r.attempts, a)
+	r.open++
+	if r.risky++; r.anchor == nil {
+		r.anchor = a
+	}
+	t.out = append(t.out, a)
+	b.inFlight++
+	if len(r.attempts) == 1 {
+		b.sent++
+	}
+	if t.cold {
+		t.budget -= a.cost
+	}
+	b.actions = append(b.actions, Send{Request: r.id, Backend: t.ID})
+	b.awaitSilence(r)
+}
+
+// finish gives a request its final answer. Nothing else does. It is a refusal
+// where no attempt may have run, which lets any client try again; else a failure.
+func (b *Balancer) finish(r *request) {
+	if r.ended {
+		return
+	}
+	if r.risky == 0 {
+		b.actions = append(b.actions, Refuse{Request: r.id})
+	} else {
+		b.actions = append(b.actions, Fail{Request: r.id})
+	}
+	b.close(r)
+}
+
+// close forgets a request once it has ended and its attempts are in.
+func (b *Balancer) close(r *request) {
+	r.ended = true
+	if r.holding {
+		b.unhold(r)
+	}
+	if r.open == 0 {
+		delete(b.requests, r.id)
+		b.leaveLine(r)
+	}
+}
+
+func (t *backend) drop(a *attempt) {
+	for i, o := range t.out {
+		if o == a {
+			t.out = append(t.out[:i], t.out[i+1:]...)
+			return
+		}
+	}
+}
+
+func blend(mean, sample float64) float64 {
+	if mean == 0 {
+		return sample
+	}
+	return mean + smooth*(sample-mean)
+}
--- /dev/null
+++ b/saltmast_test.go
@@ -0,0 +1,1678 @@
+package saltmast_test
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"saltmast"
+)
+
+const ms = time.Millisecond
+
+// Classes of the test settings, by position.
+const (
+	safe = iota
+	unsafe
+	keyedAll
+	keyedZone
+	keyedCell
+)
+
+func settings() saltmast.Settings {
+	class := func(e saltmast.Effect, g saltmast.Group) saltmast.Class {
+		return saltmast.Class{Aim: 400 * ms, Deadline: 2000 * ms, Worth: 1, Effect: e, Group: g, Window: 300 * ms}
+	}
+	return saltmast.Settings{
+		Balancers: 1, MaxAttempts: 4, Tick: 5 * ms,
+		Classes: []saltmast.Class{
+			class(saltmast.Safe, 0), class(saltmast.Unsafe, 0), class(saltmast.Keyed, saltmast.GroupAll),
+			class(saltmast.Keyed, saltmast.GroupZone), class(saltmast.Keyed, saltmast.GroupCell),
+		},
+		DrainGrace: 500 * ms, AnswerGrace: 20 * ms, ColdShare: 0.2, RampTime: 10 * time.Second,
+		FallMultiple: 2.5, FallWindow: time.Second, AskWithin: 10 * time.Second,
+		GoalWhole: 0.6, GoalWindow: 0.2, GoalClass: 0.2,
+	}
+}
+
+// backends makes n backends named a, b, c ...; two per zone and cell.
+func backends(n int) []saltmast.Backend {
+	var list []saltmast.Backend
+	for i := range n {
+		list = append(list, saltmast.Backend{ID: string(rune('a' + i)), Zone: i / 2, Cell: i / 2})
+	}
+	return list
+}
+
+// rig drives one balancer and keeps what it does.
+type rig struct {
+	t       *testing.T
+	b       *saltmast.Balancer
+	now     time.Duration
+	sent    map[string][]string // backends of each request's attempts
+	timers  []saltmast.TimerFired
+	due     []time.Duration
+	actions []saltmast.Action // of the last step
+}
+
+func newRig(t *testing.T, s saltmast.Settings, seed uint64, list []saltmast.Backend) *rig {
+	t.Helper()
+	b, err := saltmast.New(s, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, b: b, now: time.Hour, sent: map[string][]string{}}
+	r.step(saltmast.List{Kind: saltmast.ListCached, Backends: list})
+	return r
+}
+
+func (r *rig) step(events ...saltmast.Event) []saltmast.Action {
+	r.actions = r.b.Step(r.now, events)
+	for _, a := range r.actions {
+		switch a := a.(type) {
+		case saltmast.Send:
+			r.sent[a.Request] = append(r.sent[a.Request], a.Backend)
+		case saltmast.SetTimer:
+			r.timers = append(r.timers, saltmast.TimerFired{Token: a.Token})
+			r.due = append(r.due, r.now+a.After)
+		}
+	}
+	return r.actions
+}
+
+// advance moves the clock and fires the timers on the way; it returns all actions.
+func (r *rig) advance(d time.Duration) []saltmast.Action {
+	var all []saltmast.Action
+	end := r.now + d
+	for {
+		next := -1
+		for i, at := range r.due {
+			if at <= end && (next < 0 || at < r.due[next]) {
+				next = i
+			}
+		}
+		if next < 0 {
+			break
+		}
+		token := r.timers[next]
+		r.now = max(r.now, r.due[next])
+		r.timers = append(r.timers[:next], r.timers[next+1:]...)
+		r.due = append(r.due[:next], r.due[next+1:]...)
+		all = append(all, r.step(token)...)
+	}
+	r.now = end
+	return all
+}
+
+func (r *rig) request(id string, class int) []saltmast.Action {
+	return r.step(saltmast.Request{ID: id, Class: class, Left: 2000 * ms})
+}
+
+// outcome ends the latest attempt of a request.
+func (r *rig) outcome(id string, res saltmast.Result, latency time.Duration) []saltmast.Action {
+	r.t.Helper()
+	n := len(r.sent[id]) - 1
+	if n < 0 {
+		r.t.Fatalf("%s: nothing was sent", id)
+	}
+	return r.step(saltmast.Outcome{Request: id, Attempt: n, Backend: r.sent[id][n], Result: res,
+		Latency: latency, Done: res == saltmast.OK})
+}
+
+// serve sends n requests one after the other and answers each at once.
+func (r *rig) serve(n int, class int, latency time.Duration) map[string]int {
+	r.t.Helper()
+	counts := map[string]int{}
+	for range n {
+		id := fmt.Sprintf("serve-%d", len(r.sent))
+		r.request(id, class)
+		r.now += latency
+		r.outcome(id, saltmast.OK, latency)
+		counts[r.sent[id][0]]++
+	}
+	return counts
+}
+
+// waves sends n requests, width at a time, and answers each wave after the latency. Waves as
+// wide as the list open a connection to every backend.
+func (r *rig) waves(n, width int, class int, latency time.Duration) map[string]int {
+	r.t.Helper()
+	counts := map[string]int{}
+	for range n / width {
+		var wave []string
+		for range width {
+			id := fmt.Sprintf("wave-%d", len(r.sent))
+			if r.request(id, class); len(r.sent[id]) == 1 {
+				wave = append(wave, id)
+			}
+		}
+		r.now += latency
+		for _, id := range wave {
+			r.outcome(id, saltmast.OK, latency)
+			counts[r.sent[id][0]]++
+		}
+	}
+	return counts
+}
+
+// final names the final answer for a request among the actions, or "".
+func final(id string, actions []saltmast.Action) string {
+	found := ""
+	for _, a := range actions {
+		switch a := a.(type) {
+		case saltmast.Refuse:
+			if a.Request == id {
+				found += "refuse"
+			}
+		case saltmast.Fail:
+			if a.Request == id {
+				found += "fail"
+			}
+		}
+	}
+	return found
+}
+
+func TestNewRejectsSettings(t *testing.T) {
+	tests := []struct {
+		name string
+		edit func(*saltmast.Settings)
+		want string
+	}{
+		{"no classes", func(s *saltmast.Settings) { s.Classes = nil }, "Classes: none"},
+		{"no balancers", func(s *saltmast.Settings) { s.Balancers = 0 }, "Balancers: 0"},
+		{"own number outside the count", func(s *saltmast.Settings) { s.Self = 1 }, "Self: 1"},
+		{"negative number", func(s *saltmast.Settings) { s.Self = -1 }, "Self: -1"},
+		{"attempt limit below zero", func(s *saltmast.Settings) { s.MaxAttempts = -2 }, "MaxAttempts: -2"},
+		{"drain grace below zero", func(s *saltmast.Settings) { s.DrainGrace = -ms }, "DrainGrace: -1ms"},
+		{"cold share above one", func(s *saltmast.Settings) { s.ColdShare = 1.5 }, "ColdShare: 1.5"},
+		{"unknown effect", func(s *saltmast.Settings) { s.Classes[2].Effect = 9 }, "Classes[2].Effect: 9"},
+		{"unknown group", func(s *saltmast.Settings) { s.Classes[1].Group = 7 }, "Classes[1].Group: 7"},
+		{"no aim", func(s *saltmast.Settings) { s.Classes[0].Aim = 0 }, "Classes[0].Aim: 0s"},
+		{"key rest below zero", func(s *saltmast.Settings) { s.KeyRest = -ms }, "KeyRest: -1ms"},
+		{"open limit below zero", func(s *saltmast.Settings) { s.MaxOpen = -1 }, "MaxOpen: -1"},
+		{"price not a number", func(s *saltmast.Settings) { s.WastePrice = math.NaN() }, "WastePrice: NaN"},
+		{"price below zero", func(s *saltmast.Settings) { s.PeerPrice = -1 }, "PeerPrice: -1"},
+		{"tenant quota below zero", func(s *saltmast.Settings) { s.Tenants = []saltmast.Tenant{{Quota: -1}} }, "Tenants[0].Quota: -1"},
+		{"unknown report source", func(s *saltmast.Settings) { s.Reports = 9 }, "Reports: 9"},
+		{"unknown weights", func(s *saltmast.Settings) { s.Weights = 9 }, "Weights: 9"},
+		{"stretch below zero", func(s *saltmast.Settings) { s.Classes[0].AimStretch = -1 }, "Classes[0].AimStretch: -1"},
+		{"window below zero", func(s *saltmast.Settings) { s.Classes[3].Window = -ms }, "Classes[3].Window: -1ms"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := settings()
+			tt.edit(&s)
+			if _, err := saltmast.New(s, 1); err == nil || !strings.Contains(err.Error(), tt.want) {
+				t.Errorf("error %v, want one with %q", err, tt.want)
+			}
+		})
+	}
+}
+
+// What an outcome lets each kind of class do: retry on another backend, or end.
+func TestOutcomes(t *testing.T) {
+	const retry = "retry"
+	tests := []struct {
+		class  int
+		result saltmast.Result
+		want   string
+	}{
+		{safe, saltmast.Errored, retry},
+		{safe, saltmast.TimedOut, retry},
+		{safe, saltmast.Reset, retry},
+		{safe, saltmast.Full, retry},
+		{safe, saltmast.ConnectFailed, retry},
+		{safe, saltmast.NotSent, "refuse"},
+		{unsafe, saltmast.Errored, "fail"},
+		{unsafe, saltmast.TimedOut, "fail"},
+		{unsafe, saltmast.Reset, "fail"},
+		{unsafe, saltmast.Cancelled, "fail"},
+		{unsafe, saltmast.Full, retry},
+		{unsafe, saltmast.ConnectFailed, retry},
+		{unsafe, saltmast.NotSent, "refuse"},
+		{keyedAll, saltmast.Errored, retry},
+		{keyedAll, saltmast.Full, retry},
+		{keyedZone, saltmast.Errored, retry},
+		{keyedZone, saltmast.ConnectFailed, retry},
+		{keyedCell, saltmast.TimedOut, retry},
+		{keyedCell, saltmast.Reset, retry},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("class %d result %d", tt.class, tt.result), func(t *testing.T) {
+			r := newRig(t, settings(), 7, backends(6))
+			r.request("q", tt.class)
+			r.now += 10 * ms
+			acts := r.outcome("q", tt.result, 10*ms)
+			acts = append(acts, r.advance(200*ms)...)
+			got := final("q", acts)
+			if len(r.sent["q"]) == 2 {
+				got += retry
+				if r.sent["q"][0] == r.sent["q"][1] {
+					t.Errorf("both attempts went to %s, which had just failed", r.sent["q"][0])
+				}
+			}
+			if got != tt.want {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+// A keyed request that may have run goes only to its group and within its window.
+func TestKeyedGroup(t *testing.T) {
+	zone := map[string]int{"a": 0, "b": 0, "c": 1, "d": 1, "e": 2, "f": 2}
+	for seed := uint64(0); seed < 40; seed++ {
+		for _, class := range []int{keyedZone, keyedCell} {
+			r := newRig(t, settings(), seed, backends(6))
+			r.request("q", class)
+			r.now += 5 * ms
+			r.outcome("q", saltmast.Errored, 5*ms)
+			r.advance(200 * ms)
+			if s := r.sent["q"]; len(s) != 2 || zone[s[0]] != zone[s[1]] {
+				t.Errorf("seed %d class %d: attempts %v leave the group", seed, class, s)
+			}
+		}
+	}
+	t.Run("window", func(t *testing.T) {
+		r := newRig(t, settings(), 1, backends(6))
+		r.request("q", keyedAll)
+		r.now += 300 * ms
+		acts := r.outcome("q", saltmast.Errored, 300*ms)
+		if final("q", acts) != "fail" {
+			t.Errorf("after the window: %v, want a failure", acts)
+		}
+	})
+	t.Run("never ran", func(t *testing.T) {
+		r := newRig(t, settings(), 1, backends(6))
+		r.request("q", keyedZone)
+		r.now += 400 * ms
+		r.outcome("q", saltmast.ConnectFailed, 400*ms)
+		r.advance(200 * ms)
+		if len(r.sent["q"]) != 2 {
+			t.Errorf("attempts %v: one that never ran should not bind the request", r.sent["q"])
+		}
+	})
+}
+
+func TestAttemptLimit(t *testing.T) {
+	s := settings()
+	s.MaxAttempts = 3
+	r := newRig(t, s, 3, backends(6))
+	r.request("q", safe)
+	var all []saltmast.Action
+	for range 6 {
+		if final("q", all) != "" {
+			break
+		}
+		r.now += ms
+		all = append(all, r.outcome("q", saltmast.Errored, ms)...)
+		all = append(all, r.advance(150*ms)...)
+	}
+	if len(r.sent["q"]) != 3 || final("q", all) != "fail" {
+		t.Errorf("attempts %v and answer %q, want 3 and one failure", r.sent["q"], final("q", all))
+	}
+}
+
+// The bucket holds 100: 20 retries at 5, or 10 after time-outs. First attempts
+// go out when it is empty; served requests bring one token each, up to the cap.
+func TestRetryBucket(t *testing.T) {
+	s := settings()
+	s.MaxAttempts = 2
+	// spend fails n requests and returns how many were retried. The retry is
+	// served, unless it must not refill the bucket.
+	spend := func(r *rig, n int, res saltmast.Result) (retried int) {
+		for range n {
+			id := fmt.Sprintf("spend-%d", len(r.sent))
+			r.request(id, safe)
+			if len(r.sent[id]) != 1 {
+				t.Fatalf("first attempt of %s did not go out", id)
+			}
+			r.now += ms
+			r.outcome(id, res, ms)
+			r.advance(100 * ms)
+			if len(r.sent[id]) == 2 {
+				retried++
+				r.now += ms
+				r.outcome(id, saltmast.Errored, ms)
+			}
+			r.advance(30 * time.Second) // lets ejections pass
+		}
+		return retried
+	}
+	tests := []struct {
+		name  string
+		res   saltmast.Result
+		serve int // between emptying and trying again
+		first int
+		then  int
+	}{
+		{"errors cost 5", saltmast.Errored, 4, 20, 0},
+		{"five served bring one back", saltmast.Errored, 5, 20, 1},
+		{"time-outs cost 10", saltmast.TimedOut, 9, 10, 0},
+		{"ten served bring one back after a time-out", saltmast.TimedOut, 10, 10, 1},
+		{"the cap holds", saltmast.Errored, 500, 20, 20},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRig(t, s, 5, backends(6))
+			if got := spend(r, 30, tt.res); got != tt.first {
+				t.Errorf("a full bucket funded %d retries, want %d", got, tt.first)
+			}
+			r.serve(tt.serve, safe, 20*ms)
+			r.advance(30 * time.Second)
+			if got := spend(r, 30, tt.res); got != tt.then {
+				t.Errorf("then funded %d retries, want %d", got, tt.then)
+			}
+		})
+	}
+}
+
+// Waits are full jitter: between 0 and a unit (a share of the aim) that doubles
+// with each retry up to a ceiling.
+func TestBackoff(t *testing.T) {
+	s := settings()
+	s.MaxAttempts = 7
+	unit := s.Classes[safe].Aim / 32
+	longest := make([]time.Duration, 6)
+	shortest := []time.Duration{time.Hour, time.Hour, time.Hour, time.Hour, time.Hour, time.Hour}
+	for seed := uint64(0); seed < 300; seed++ {
+		r := newRig(t, s, seed, backends(8))
+		r.request("q", safe)
+		for n := range 6 {
+			r.outcome("q", saltmast.Full, 0)
+			failed := r.now
+			for len(r.sent["q"]) == n+1 && len(r.due) > 0 {
+				r.advance(ms / 4)
+			}
+			if len(r.sent["q"]) != n+2 {
+				t.Fatalf("seed %d: retry %d was not made", seed, n)
+			}
+			longest[n] = max(longest[n], r.now-failed)
+			shortest[n] = min(shortest[n], r.now-failed)
+		}
+	}
+	for n, got := range longest {
+		bound := unit << min(n, 3)
+		if got > bound+ms || got < bound*8/10 {
+			t.Errorf("retry %d waited up to %v, want close to %v and no more", n, got, bound)
+		}
+		if shortest[n] > bound/10 {
+			t.Errorf("retry %d waited at least %v, want full jitter from 0", n, shortest[n])
+		}
+	}
+}
+
+// A retry whose wait would outlast the time left is not made.
+func TestBackoffWithinTimeLeft(t *testing.T) {
+	r := newRig(t, settings(), 1, backends(4))
+	r.request("q", safe)
+	r.now += 2000 * ms
+	if acts := r.outcome("q", saltmast.TimedOut, 2000*ms); final("q", acts) != "fail" {
+		t.Errorf("at the deadline: %v, want the final answer at once", acts)
+	}
+}
+
+func TestPicking(t *testing.T) {
+	t.Run("idle ones at random", func(t *testing.T) {
+		r := newRig(t, settings(), 2, backends(4))
+		r.waves(16, 8, safe, 50*ms)
+		counts := r.serve(400, safe, 50*ms)
+		for _, id := range []string{"a", "b", "c", "d"} {
+			if counts[id] < 60 || counts[id] > 140 {
+				t.Errorf("%s got %d of 400, want about 100", id, counts[id])
+			}
+		}
+	})
+	t.Run("idle before busy", func(t *testing.T) {
+		r := newRig(t, settings(), 2, backends(4))
+		r.waves(80, 8, safe, 50*ms)
+		used := map[string]bool{}
+		for i := range 4 {
+			id := fmt.Sprint("q", i)
+			r.request(id, safe)
+			used[r.sent[id][0]] = true
+		}
+		if len(used) != 4 {
+			t.Errorf("four requests went to %d backends, want 4", len(used))
+		}
+	})
+	t.Run("fewest in flight", func(t *testing.T) {
+		r := newRig(t, settings(), 2, backends(4))
+		r.waves(80, 8, safe, 50*ms)
+		counts := map[string]int{}
+		for i := range 12 {
+			id := fmt.Sprint("q", i)
+			r.request(id, safe)
+			counts[r.sent[id][0]]++
+		}
+		for id, n := range counts {
+			if n < 2 || n > 4 {
+				t.Errorf("%s has %d in flight of 12 over 4", id, n)
+			}
+		}
+	})
+	t.Run("a new one counts at the mean", func(t *testing.T) {
+		r := newRig(t, settings(), 2, backends(4))
+		r.serve(80, safe, 50*ms)
+		for i := range 8 {
+			r.request(fmt.Sprint("q", i), safe)
+		}
+		r.step(saltmast.List{Kind: saltmast.ListDelta, Backends: []saltmast.Backend{{ID: "new"}}})
+		rush := 0
+		for i := range 4 {
+			id := fmt.Sprint("n", i)
+			r.request(id, safe)
+			if r.sent[id][0] == "new" {
+				rush++
+			}
+		}
+		if rush > 2 {
+			t.Errorf("the new backend got %d of 4, want no rush", rush)
+		}
+	})
+	t.Run("own zone where crossing is priced", func(t *testing.T) {
+		s := settings()
+		s.CrossZonePrice = 0.02
+		r := newRig(t, s, 2, backends(4))
+		r.waves(16, 8, safe, 50*ms)
+		counts := r.serve(400, safe, 50*ms)
+		if own := counts["a"] + counts["b"]; own < 260 || own == 400 {
+			t.Errorf("own zone got %d of 400, want most but not all", own)
+		}
+	})
+	t.Run("slow ones less", func(t *testing.T) {
+		r := newRig(t, settings(), 2, backends(4))
+		late := 0
+		for i := range 600 {
+			id := fmt.Sprint("q", i)
+			r.request(id, safe)
+			lat := 40 * ms
+			if r.sent[id][0] == "a" {
+				lat = 160 * ms
+				if i >= 300 {
+					late++
+				}
+			}
+			r.now += lat
+			r.outcome(id, saltmast.OK, lat)
+		}
+		if late > 40 {
+			t.Errorf("a backend four times slower still got %d of 300", late)
+		}
+	})
+}
+
+// Incident i48ae3c: many agents that each connect to every backend fill their connection
+// tables. An agent with little traffic stays with a few; one with more takes what it needs.
+func TestWorkingSet(t *testing.T) {
+	s := settings()
+	s.IdleClose = time.Minute
+	r := newRig(t, s, 2, backends(20))
+	counts := r.serve(300, safe, 20*ms)
+	if len(counts) != 2 {
+		t.Errorf("one request at a time used %d backends, want 2", len(counts))
+	}
+	used := map[string]bool{}
+	for i := range 12 {
+		id := fmt.Sprint("q", i)
+		r.request(id, safe)
+		used[r.sent[id][0]] = true
+	}
+	if len(used) < 6 || len(used) > 9 {
+		t.Errorf("twelve at once used %d backends, want about two on each", len(used))
+	}
+	for i := range 12 {
+		r.outcome(fmt.Sprint("q", i), saltmast.OK, 20*ms)
+	}
+	r.now += 2 * time.Minute // all connections have closed; the next few open new ones
+	later := r.serve(300, safe, 20*ms)
+	if len(later) != 2 {
+		t.Errorf("after its connections closed it used %d backends, want 2", len(later))
+	}
+}
+
+// A backend that fails fast is always idle; it must not draw the traffic.
+func TestFastFailureIsEjected(t *testing.T) {
+	r := newRig(t, settings(), 4, backends(6))
+	bad := 0
+	for i := range 300 {
+		id := fmt.Sprint("q", i)
+		r.request(id, unsafe)
+		res, lat := saltmast.OK, 30*ms
+		if r.sent[id][0] == "a" {
+			res, lat = saltmast.Errored, ms
+			bad++
+		}
+		r.now += lat
+		r.outcome(id, res, lat)
+	}
+	if bad > 6 {
+		t.Errorf("the failing backend got %d of 300", bad)
+	}
+	// Once it works again it comes back, first with requests that may be repeated.
+	r.advance(20 * time.Second)
+	if counts := r.waves(408, 12, safe, 30*ms); counts["a"] < 20 {
+		t.Errorf("after healing it got %d of 400", counts["a"])
+	}
+}
+
+// With no repeatable class at all an ejected backend must still come back.
+func TestEjectionEndsWithoutRepeatableClass(t *testing.T) {
+	s := settings()
+	s.Classes = s.Classes[unsafe : unsafe+1]
+	r := newRig(t, s, 4, backends(3))
+	for i := 0; ; i++ {
+		id := fmt.Sprint("q", i)
+		r.request(id, 0)
+		r.now += 20 * ms
+		if r.sent[id][0] == "a" {
+			r.outcome(id, saltmast.Errored, 20*ms)
+			break
+		}
+		r.outcome(id, saltmast.OK, 20*ms)
+	}
+	r.advance(5 * time.Second)
+	if counts := r.serve(200, 0, 30*ms); counts["a"] == 0 {
+		t.Error("an ejected backend never got traffic again")
+	}
+}
+
+// When every backend is ejected, first attempts go out all the same.
+func TestAllEjected(t *testing.T) {
+	s := settings()
+	s.MaxAttempts = 1
+	r := newRig(t, s, 4, backends(2))
+	for i := range 10 {
+		id := fmt.Sprint("q", i)
+		r.request(id, safe)
+		if len(r.sent[id]) != 1 {
+			t.Fatalf("request %d was not sent", i)
+		}
+		r.now += ms
+		r.outcome(id, saltmast.Errored, ms)
+	}
+}
+
+// A stalled backend shows in the wait of its oldest attempt, before any answer.
+func TestStallIsAvoided(t *testing.T) {
+	r := newRig(t, settings(), 4, backends(3))
+	r.serve(60, safe, 20*ms)
+	for i := range 3 { // one on each
+		r.request(fmt.Sprint("hang", i), safe)
+	}
+	for i := range 3 {
+		id := fmt.Sprint("hang", i)
+		if r.sent[id][0] != "a" {
+			r.now += 10 * ms
+			r.outcome(id, saltmast.OK, 20*ms)
+		}
+	}
+	r.now += 300 * ms
+	for i := range 6 {
+		id := fmt.Sprint("q", i)
+		r.request(id, safe)
+		if r.sent[id][0] == "a" {
+			t.Errorf("request %d went to the stalled backend", i)
+		}
+	}
+}
+
+func TestDrainAndGone(t *testing.T) {
+	for _, state := range []saltmast.BackendState{saltmast.Draining, saltmast.Gone} {
+		r := newRig(t, settings(), 1, backends(3))
+		r.step(saltmast.List{Kind: saltmast.ListDelta,
+			Backends: []saltmast.Backend{{ID: "a", State: state}}})
+		if n := r.serve(100, safe, 20*ms)["a"]; n > 0 {
+			t.Errorf("state %d: %d requests went there", state, n)
+		}
+	}
+	t.Run("missing from a full list", func(t *testing.T) {
+		r := newRig(t, settings(), 1, backends(3))
+		r.step(saltmast.List{Kind: saltmast.ListFull, Backends: backends(3)[1:]})
+		if n := r.serve(100, safe, 20*ms)["a"]; n > 0 {
+			t.Errorf("%d requests went there", n)
+		}
+	})
+	t.Run("while waiting out a backoff", func(t *testing.T) {
+		for seed := uint64(0); seed < 20; seed++ {
+			r := newRig(t, settings(), seed, backends(2))
+			r.request("q", safe)
+			other := map[string]string{"a": "b", "b": "a"}[r.sent["q"][0]]
+			r.now += ms
+			r.outcome("q", saltmast.Errored, ms)
+			r.step(saltmast.List{Kind: saltmast.ListDelta,
+				Backends: []saltmast.Backend{{ID: other, State: saltmast.Draining}}})
+			r.advance(time.Second)
+			for _, b := range r.sent["q"][1:] {
+				if b == other {
+					t.Fatalf("seed %d: a retry went to the draining backend", seed)
+				}
+			}
+		}
+	})
+	t.Run("back with the same id", func(t *testing.T) {
+		r := newRig(t, settings(), 1, backends(2))
+		r.serve(50, safe, 20*ms)
+		r.step(saltmast.List{Kind: saltmast.ListDelta,
+			Backends: []saltmast.Backend{{ID: "a", State: saltmast.Gone}}})
+		r.step(saltmast.List{Kind: saltmast.ListDelta,
+			Backends: []saltmast.Backend{{ID: "a", Started: r.now}}})
+		r.serve(400, safe, 20*ms)
+		r.advance(10 * time.Second)
+		if n := r.serve(200, safe, 20*ms)["a"]; n < 50 {
+			t.Errorf("warm again it got %d of 200", n)
+		}
+	})
+}
+
+// A cold backend gets no more than its warmth times what a warm one serves.
+func TestColdShare(t *testing.T) {
+	list := backends(5)
+	list[0].Started = time.Hour // the rig's clock starts here
+	r := newRig(t, settings(), 9, list)
+	counts := r.waves(1000, 10, safe, 20*ms) // the first 4 s of 10: warmth 0.2 to 0.52
+	if warm := (1000 - counts["a"]) / 4; float64(counts["a"]) > 0.52*float64(warm)+2 {
+		t.Errorf("the cold backend got %d against %d for a warm one", counts["a"], warm)
+	}
+	if counts["a"] == 0 {
+		t.Error("the cold backend got nothing")
+	}
+	r.advance(10 * time.Second)
+	if n := r.waves(200, 10, safe, 20*ms)["a"]; n < 25 {
+		t.Errorf("once warm it got %d of 200", n)
+	}
+}
+
+// Incidents i37feae and i28e3f7: under overload a cold backend gets more than its sure share of
+// what a warm one serves, and stays well below the stated multiple of it.
+func TestColdShareUnderOverload(t *testing.T) {
+	list := backends(5)
+	r := newRig(t, settings(), 9, list)
+	var out []string
+	counts := map[string]float64{}
+	answer := func(id string, latency time.Duration) {
+		counts[r.sent[id][0]]++
+		for _, a := range r.outcome(id, saltmast.OK, latency) {
+			if a, ok := a.(saltmast.Send); ok {
+				out = append(out, a.Request)
+			}
+		}
+	}
+	drive := func(n int) { // each 5 ms: all answers of the cold one, one of the others, two requests
+		for range n {
+			r.advance(5 * ms)
+			was := out
+			out = nil
+			for i, id := range was {
+				if r.sent[id][0] == "a" && list[0].Started > 0 {
+					answer(id, 5*ms)
+				} else if i == 0 {
+					answer(id, 50*ms)
+				} else {
+					out = append(out, id)
+				}
+			}
+			for range 2 {
+				id := fmt.Sprint("q", len(r.sent), "-", r.now)
+				if r.request(id, safe); len(r.sent[id]) > 0 {
+					out = append(out, id)
+				}
+			}
+		}
+	}
+	for i := range 20 {
+		id := fmt.Sprint("first", i)
+		r.request(id, safe)
+		out = append(out, id)
+	}
+	drive(400)
+	list[0].Started = r.now
+	r.step(saltmast.List{Kind: saltmast.ListDelta, Backends: list[:1]})
+	clear(counts)
+	drive(400) // two seconds: warmth 0.2 to 0.36, 0.28 in the mean
+	warm := (counts["b"] + counts["c"] + counts["d"] + counts["e"]) / 4
+	share := counts["a"] / warm
+	if share < 0.4 || share > 0.28*2.5 {
+		t.Errorf("the cold backend served %.2f of a warm one's work", share)
+	}
+}
+
+// A heavy request alone could push a cold backend over.
+func TestColdGetsNoHeavyRequest(t *testing.T) {
+	list := backends(3)
+	r := newRig(t, settings(), 9, list)
+	send := func(id string, work time.Duration) {
+		r.step(saltmast.Request{ID: id, Class: safe, Left: 2000 * ms, Work: work})
+		r.now += 20 * ms
+		r.outcome(id, saltmast.OK, 20*ms)
+	}
+	for i := range 100 {
+		send(fmt.Sprint("w", i), 20*ms)
+	}
+	r.step(saltmast.List{Kind: saltmast.ListDelta,
+		Backends: []saltmast.Backend{{ID: "cold", Started: r.now}}})
+	for i := range 6 {
+		r.request(fmt.Sprint("busy", i), safe) // the warm ones are not idle
+	}
+	got := 0
+	for i := range 100 {
+		send(fmt.Sprint("l", i), 20*ms)
+		if h := fmt.Sprint("h", i); i%10 == 0 {
+			if send(h, 300*ms); r.sent[h][0] == "cold" {
+				t.Fatalf("heavy request %d went to the cold backend", i)
+			}
+		}
+		if r.sent[fmt.Sprint("l", i)][0] == "cold" {
+			got++
+		}
+	}
+	if got == 0 {
+		t.Error("the cold backend got no light request either")
+	}
+}
+
+// A backend that comes back before the list tells counts as cold.
+func TestRevivalIsCold(t *testing.T) {
+	r := newRig(t, settings(), 3, backends(3))
+	r.serve(60, safe, 20*ms)
+	for i := 0; ; i++ {
+		id := fmt.Sprint("d", i)
+		r.request(id, safe)
+		r.now += 20 * ms
+		if r.sent[id][0] == "a" {
+			r.outcome(id, saltmast.ConnectFailed, 20*ms)
+			break
+		}
+		r.outcome(id, saltmast.OK, 20*ms)
+	}
+	r.advance(2 * time.Second)
+	seen := r.waves(300, 6, safe, 20*ms)["a"]
+	if seen == 0 || seen > 52 {
+		t.Errorf("after its return it got %d of 300, want a cold backend's share", seen)
+	}
+}
+
+// A list that is empty at the start: requests wait, and are refused in time.
+func TestNoBackend(t *testing.T) {
+	for _, class := range []int{safe, unsafe, keyedZone} {
+		r := newRig(t, settings(), 1, nil)
+		acts := r.request("q", class)
+		acts = append(acts, r.advance(399*ms)...)
+		if final("q", acts) != "refuse" {
+			t.Errorf("class %d: %q, want one refusal within the aim", class, final("q", acts))
+		}
+	}
+	t.Run("list comes in time", func(t *testing.T) {
+		r := newRig(t, settings(), 1, nil)
+		r.request("q", safe)
+		r.now += 50 * ms
+		r.step(saltmast.List{Kind: saltmast.ListFull, Backends: backends(2)})
+		if len(r.sent["q"]) != 1 {
+			t.Error("the waiting request was not sent")
+		}
+	})
+}
+
+// Incident i621733: the mean latency falls while a request is held, so that its timer
+// comes before its time; it needs a further one, or nothing wakes a quiet agent in time.
+func TestHeldRequestIsNotLost(t *testing.T) {
+	s := settings()
+	s.Balancers = 5 // room for one
+	r := newRig(t, s, 1, backends(1))
+	r.request("out", safe)
+	r.request("old", safe)
+	r.request("new", safe)
+	if len(r.sent["old"]) > 0 || len(r.sent["new"]) > 0 {
+		t.Fatal("they were not held")
+	}
+	r.now += 5 * ms
+	r.outcome("out", saltmast.OK, 5*ms) // lowers the mean; its room goes to the newest
+	if len(r.sent["new"]) != 1 {
+		t.Fatal("the newest did not follow")
+	}
+	if got := final("old", r.advance(400*ms)); got != "refuse" {
+		t.Errorf("the held request got %q within its aim, want one refusal", got)
+	}
+}
+
+// Latency above the aimed delay cuts what is kept in flight; what does not fit
+// waits and is refused, and a client's repeat is refused first.
+func TestInFlightLimit(t *testing.T) {
+	s := settings()
+	s.Balancers = 2
+	r := newRig(t, s, 1, backends(2))
+	for i := range 200 { // slow answers
+		id := fmt.Sprint("s", i)
+		r.request(id, safe)
+		r.now += 350 * ms
+		r.outcome(id, saltmast.OK, 350*ms)
+	}
+	out := 0
+	var all []saltmast.Action
+	for i := range 20 {
+		id := fmt.Sprint("q", i)
+		all = append(all, r.request(id, safe)...)
+		out += len(r.sent[id])
+	}
+	if want := 4 * 2 / 2; out != want {
+		t.Errorf("%d in flight, want this agent's share of 4 per backend: %d", out, want)
+	}
+	repeat := r.step(saltmast.Request{ID: "again", Class: safe, Left: 2000 * ms, Repeat: true})
+	if final("again", repeat) != "refuse" {
+		t.Errorf("a client's repeat: %v, want a refusal at once", repeat)
+	}
+	all = append(all, r.advance(400*ms)...)
+	for i := range 20 {
+		id := fmt.Sprint("q", i)
+		if len(r.sent[id]) == 0 && final(id, all) != "refuse" {
+			t.Errorf("%s: %q, want one refusal", id, final(id, all))
+		}
+	}
+}
+
+// Incident i6c6372: with many agents each one's share must shrink, also on idle backends.
+func TestLimitIsSharedOut(t *testing.T) {
+	inFlight := func(balancers int) (n int) {
+		s := settings()
+		s.Balancers = balancers
+		r := newRig(t, s, 1, backends(10))
+		for i := range 100 {
+			id := fmt.Sprint("q", i)
+			r.request(id, safe)
+			n += len(r.sent[id])
+		}
+		return n
+	}
+	if one, many := inFlight(1), inFlight(20); many*10 > one {
+		t.Errorf("%d in flight among 20 agents against %d alone", many, one)
+	}
+}
+
+// Incident ia38185: the limit follows the list down.
+func TestLimitFollowsTheList(t *testing.T) {
+	r := newRig(t, settings(), 1, backends(10))
+	r.step(saltmast.List{Kind: saltmast.ListFull, Backends: backends(2)})
+	n := 0
+	for i := range 100 {
+		id := fmt.Sprint("q", i)
+		r.request(id, safe)
+		n += len(r.sent[id])
+	}
+	if n > 12 {
+		t.Errorf("%d in flight on two backends", n)
+	}
+}
+
+// Incidents idacc77 and i574e74: what dead backends carried must not land on the
+// living while the list still names the dead.
+func TestLimitLeavesOutTheDead(t *testing.T) {
+	r := newRig(t, settings(), 1, backends(10))
+	r.waves(80, 20, safe, 5*ms)
+	dead := map[string]bool{}
+	for i := 0; len(dead) < 6 && i < 500; i++ {
+		id := fmt.Sprint("d", i)
+		r.request(id, safe)
+		r.now += ms
+		if b := r.sent[id][0]; b < "g" { // a to f
+			dead[b] = true
+			r.outcome(id, saltmast.ConnectFailed, ms)
+		} else {
+			r.outcome(id, saltmast.OK, ms)
+		}
+	}
+	r.advance(50 * ms)
+	n := 0
+	for i := range 100 {
+		id := fmt.Sprint("q", i)
+		r.request(id, safe)
+		n += len(r.sent[id])
+	}
+	if n > 28 { // six for each of four, and a few for what the outcomes taught
+		t.Errorf("%d in flight on four living backends", n)
+	}
+}
+
+// Incident ieb2a7b: attempts that hang at a backend which answers nothing must not
+// use up the room of the others once it is ejected.
+func TestHangingAttemptsUseNoRoom(t *testing.T) {
+	s := settings()
+	s.MaxAttempts = 1
+	r := newRig(t, s, 1, backends(3))
+	r.serve(60, safe, 20*ms)
+	r.now += ms
+	var hung []string
+	bad := ""
+	for i := range 18 {
+		id := fmt.Sprint("h", i)
+		r.request(id, safe)
+		if i == 0 {
+			bad = r.sent[id][0]
+		}
+		if len(r.sent[id]) == 1 && r.sent[id][0] == bad {
+			hung = append(hung, id)
+		}
+	}
+	if len(hung) < 3 {
+		t.Fatalf("only %v hang", hung)
+	}
+	r.now += 20 * ms
+	for i := range 18 {
+		if id := fmt.Sprint("h", i); len(r.sent[id]) == 1 && r.sent[id][0] != bad {
+			r.outcome(id, saltmast.OK, 20*ms)
+		}
+	}
+	r.now += 100 * ms
+	r.outcome(hung[0], saltmast.TimedOut, 120*ms)
+	n := 0
+	for i := range 40 {
+		id := fmt.Sprint("q", i)
+		r.request(id, safe)
+		for _, b := range r.sent[id] {
+			if n++; b == bad {
+				t.Errorf("%s went to the backend that answers nothing", id)
+			}
+		}
+	}
+	if n < 8 {
+		t.Errorf("%d in flight on the two that answer, want all of their room of 8", n)
+	}
+}
+
+// A time-out says at least how slow a backend is: one that answers only its light
+// requests must not keep the good name that these give it.
+func TestTimeOutsTeachSlowness(t *testing.T) {
+	s := settings()
+	s.MaxAttempts = 1
+	r := newRig(t, s, 3, backends(3))
+	r.serve(60, safe, 20*ms)
+	got := 0
+	for round := range 60 {
+		var hang []string
+		answered := false
+		for i := range 6 {
+			r.request(fmt.Sprint("q", round, "-", i), safe)
+		}
+		r.now += 20 * ms
+		for i := range 6 {
+			id := fmt.Sprint("q", round, "-", i)
+			if r.sent[id][0] == "a" {
+				if got++; answered {
+					hang = append(hang, id)
+					continue
+				}
+				answered = true
+			}
+			r.outcome(id, saltmast.OK, 20*ms)
+		}
+		r.now += 60 * ms
+		for _, id := range hang {
+			r.outcome(id, saltmast.TimedOut, 80*ms)
+		}
+		r.now += 20 * ms
+	}
+	if got > 90 {
+		t.Errorf("a backend that times out half its requests got %d of 360", got)
+	}
+}
+
+// Incident i37feae: a fleet that grows fivefold is cold; what it cannot take yet must
+// not land on the warm ones, nor all on one.
+func TestGrowthDoesNotLoadWarmOnes(t *testing.T) {
+	r := newRig(t, settings(), 1, backends(4))
+	r.serve(100, safe, 50*ms)
+	grown := backends(20)
+	for i := 4; i < 20; i++ {
+		grown[i].Started = r.now
+	}
+	r.step(saltmast.List{Kind: saltmast.ListFull, Backends: grown})
+	warm := map[string]int{}
+	for i := range 300 {
+		id := fmt.Sprint("q", i)
+		r.request(id, safe)
+		for _, b := range r.sent[id] {
+			if b < "e" {
+				warm[b]++
+			}
+		}
+	}
+	for id, n := range warm {
+		if n > 18 { // three mean shares of six
+			t.Errorf("%s holds %d in flight", id, n)
+		}
+	}
+	if sum := warm["a"] + warm["b"] + warm["c"] + warm["d"]; sum > 60 {
+		t.Errorf("the four warm backends hold %d in flight", sum)
+	}
+}
+
+// Incident ieeee80: chance must not cut the limit of a busy agent whose answers are
+// well within the aim in the mean but vary a lot.
+func TestBusyAgentIsNotCutByChance(t *testing.T) {
+	s := settings()
+	s.Balancers = 2
+	r := newRig(t, s, 1, backends(30))
+	seq := []time.Duration{30, 40, 300, 20, 60, 380, 50, 90, 30, 100} // ms; mean 110 of an aim of 400
+	refused, queue := 0, []string{}
+	for i := range 4000 {
+		id := fmt.Sprint("q", i)
+		if final(id, r.request(id, safe)) != "" {
+			refused++
+		}
+		queue = append(queue, id)
+		r.now += ms
+		if len(queue) > 75 {
+			if len(r.sent[queue[0]]) > 0 {
+				// answers in runs, so that twenty in a row can all be slow
+				r.outcome(queue[0], saltmast.OK, seq[(i/25)%10]*ms)
+			}
+			queue = queue[1:]
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d of 4000 refused", refused)
+	}
+}
+
+// Incident i3ae5f1: backends that slow down when crowded make three times the usual latency
+// long before it nears the aim; the limit must come down then, but not where it was always so.
+func TestLimitFallsWithRisingLatency(t *testing.T) {
+	inFlight := func(usual time.Duration) (n int) {
+		r := newRig(t, settings(), 1, backends(2))
+		r.waves(400, 8, safe, usual)  // bound by the limit, which may grow
+		r.waves(400, 8, safe, 130*ms) // about a third of the aim
+		for i := range 40 {
+			id := fmt.Sprint("q", i)
+			r.request(id, safe)
+			n += len(r.sent[id])
+		}
+		return n
+	}
+	if crowded, slow := inFlight(40*ms), inFlight(130*ms); crowded != 4*2 || slow <= 4*2 {
+		t.Errorf("%d in flight after a rise, want the floor of 8; %d where it was so from the start, want more", crowded, slow)
+	}
+}
+
+// Incident ieb2a7b: many agents that grow their limits at once must not overshoot together.
+func TestLimitGrowsPerBackend(t *testing.T) {
+	total := func(balancers int) int {
+		s := settings()
+		s.Balancers = balancers
+		r := newRig(t, s, 1, backends(20))
+		var out []string // in flight, oldest first
+		sends := func(actions []saltmast.Action) {
+			for _, a := range actions {
+				if a, ok := a.(saltmast.Send); ok {
+					out = append(out, a.Request)
+				}
+			}
+		}
+		for i := range 200 { // what exceeds the limit is held
+			sends(r.request(fmt.Sprint("q", i), safe))
+		}
+		for i := range 4 * len(out) { // four rounds of fast answers
+			sends(r.outcome(out[0], saltmast.OK, 20*ms))
+			out = out[1:]
+			sends(r.request(fmt.Sprint("more", i), safe))
+		}
+		return len(out) * balancers
+	}
+	if one, many := total(1), total(20); one < 100 || many > one*3/2 {
+		t.Errorf("after four rounds one agent has %d in flight, want growth from 80; 20 agents %d", one, many)
+	}
+}
+
+// A try whose patience is cut short by the client's deadline is a late one: it
+// does not wait for room, where a first try does.
+func TestPatienceTellsLateTries(t *testing.T) {
+	r := newRig(t, settings(), 1, backends(1))
+	submit := func(id string, left time.Duration) []saltmast.Action {
+		return r.step(saltmast.Request{ID: id, Class: safe, Left: left})
+	}
+	for i := range 20 { // the usual patience, give or take
+		submit(fmt.Sprint("f", i), 900*ms+time.Duration(i%3)*ms)
+	}
+	if got := final("first", submit("first", 899*ms)); got != "" {
+		t.Errorf("a first try without room got %q at once, want it to wait", got)
+	}
+	if got := final("late", submit("late", 700*ms)); got != "refuse" {
+		t.Errorf("a late try without room got %q, want a refusal at once", got)
+	}
+}
+
+func TestSubscribe(t *testing.T) {
+	s := settings()
+	s.Subscribe = true
+	asks := func(acts []saltmast.Action) (n int) {
+		for _, a := range acts {
+			if _, ok := a.(saltmast.Subscribe); ok {
+				n++
+			}
+		}
+		return n
+	}
+	delays := map[time.Duration]bool{}
+	for seed := uint64(0); seed < 10; seed++ {
+		r := newRig(t, s, seed, backends(2))
+		delays[r.due[0]-r.now] = true
+		if n := asks(r.advance(s.AskWithin / 10)); n != 1 {
+			t.Fatalf("asked %d times at the start, want once", n)
+		}
+		for range 8 { // every failure is followed by one more try, in time
+			r.step(saltmast.List{Kind: saltmast.ListFailed})
+			if n := asks(r.advance(s.AskWithin / 2)); n != 1 {
+				t.Fatalf("asked %d times after a failure, want once", n)
+			}
+		}
+		r.step(saltmast.List{Kind: saltmast.ListFull, Backends: backends(2)})
+		if n := asks(r.advance(time.Minute)); n != 0 {
+			t.Errorf("asked %d times while subscribed", n)
+		}
+	}
+	if len(delays) < 9 {
+		t.Errorf("10 agents ask after only %d different waits", len(delays))
+	}
+	r := newRig(t, settings(), 1, backends(2))
+	if n := asks(append(r.step(saltmast.List{Kind: saltmast.ListFailed}), r.advance(time.Minute)...)); n != 0 {
+		t.Error("asked although the list comes unasked")
+	}
+}
+
+// Events about things unknown, late or repeated do nothing.
+func TestStrayEvents(t *testing.T) {
+	r := newRig(t, settings(), 1, backends(2))
+	r.request("done", safe)
+	r.now += 10 * ms
+	r.outcome("done", saltmast.OK, 10*ms)
+	r.request("open", unsafe)
+	stray := []saltmast.Event{
+		saltmast.Outcome{Request: "never", Result: saltmast.Errored},
+		saltmast.Outcome{Request: "done", Result: saltmast.Errored},
+		saltmast.Outcome{Request: "open", Attempt: 7, Result: saltmast.Errored},
+		saltmast.Outcome{Request: "open", Attempt: -1, Result: saltmast.Errored},
+		saltmast.TimerFired{Token: 99}, saltmast.TimerFired{Token: 0}, saltmast.TimerFired{Token: -5},
+		saltmast.Abandoned{Request: "never"}, saltmast.Abandoned{Request: "done"},
+		saltmast.StreamStarted{Request: "never"},
+		saltmast.ProbeResult{Backend: "zz"},
+		saltmast.PeerMessage{From: 44, Data: []byte{1}},
+		saltmast.Request{ID: "bad", Class: 17, Left: time.Second},
+		saltmast.Request{ID: "bad", Class: -1, Left: time.Second},
+		saltmast.Request{ID: "open", Class: safe, Left: time.Second},
+	}
+	for _, e := range stray {
+		if acts := r.step(e); len(acts) != 0 {
+			t.Errorf("%#v: %v, want no action", e, acts)
+		}
+	}
+	r.now += 10 * ms
+	if acts := r.outcome("open", saltmast.Errored, 10*ms); final("open", acts) != "fail" {
+		t.Errorf("the open request: %v, want its one failure", acts)
+	}
+	if acts := r.outcome("open", saltmast.Errored, 10*ms); len(acts) != 0 {
+		t.Errorf("a repeated outcome: %v, want no action", acts)
+	}
+}
+
+// An abandoned request gets nothing more, though its attempt is still counted.
+func TestAbandoned(t *testing.T) {
+	r := newRig(t, settings(), 1, backends(2))
+	r.request("q", safe)
+	r.step(saltmast.Abandoned{Request: "q"})
+	r.now += 10 * ms
+	acts := r.outcome("q", saltmast.Errored, 10*ms)
+	acts = append(acts, r.advance(3*time.Second)...)
+	if len(acts) != 0 {
+		t.Errorf("after the client left: %v", acts)
+	}
+}
+
+// Once an answer has begun to stream the request is the client's.
+func TestStream(t *testing.T) {
+	r := newRig(t, settings(), 1, backends(2))
+	r.request("q", safe)
+	r.step(saltmast.StreamStarted{Request: "q"})
+	r.now += 10 * ms
+	acts := r.step(saltmast.Outcome{Request: "q", Backend: r.sent["q"][0], Result: saltmast.Reset, Done: true})
+	acts = append(acts, r.advance(3*time.Second)...)
+	if len(acts) != 0 || len(r.sent["q"]) != 1 {
+		t.Errorf("after a broken stream: %v", acts)
+	}
+}
+
+// The same seed and events give the same actions.
+func TestDeterminism(t *testing.T) {
+	play := func(seed uint64) (log []string) {
+		r := newRig(t, settings(), seed, backends(6))
+		for i := range 400 {
+			id := fmt.Sprint("q", i)
+			log = append(log, fmt.Sprint(r.request(id, i%5)))
+			r.now += 3 * ms
+			if i%3 != 0 && len(r.sent[id]) > 0 {
+				log = append(log, fmt.Sprint(r.outcome(id, saltmast.Result(i%6), 3*ms)))
+			}
+			log = append(log, fmt.Sprint(r.advance(2*ms)))
+		}
+		return log
+	}
+	if !reflect.DeepEqual(play(11), play(11)) {
+		t.Error("two runs with one seed differ")
+	}
+	if reflect.DeepEqual(play(11), play(12)) {
+		t.Error("two seeds give the same run")
+	}
+}
+
+// Incidents icaaa88 and ic83025: the first answers set the usual latency, so that a rise shows
+// though even three times the usual is far below the aim; and heavy requests now and then are no rise.
+func TestUsualLatencyFromFirstAnswers(t *testing.T) {
+	inFlight := func(then ...time.Duration) (n int) {
+		r := newRig(t, settings(), 1, backends(2))
+		r.waves(80, 8, safe, 10*ms)
+		for _, latency := range then {
+			r.serve(1, safe, latency)
+		}
+		for i := range 60 {
+			id := fmt.Sprint("q", i)
+			r.request(id, safe)
+			n += len(r.sent[id])
+		}
+		return n
+	}
+	calm := inFlight()
+	var crowded []time.Duration
+	for range 60 {
+		crowded = append(crowded, 35*ms)
+	}
+	if n := inFlight(crowded...); n >= calm {
+		t.Errorf("%d in flight after a rise from 10 to 35 ms, want fewer than %d", n, calm)
+	}
+	var heavy []time.Duration
+	for range 6 {
+		heavy = append(heavy, 350*ms, 10*ms, 10*ms, 10*ms, 10*ms, 10*ms, 10*ms, 10*ms, 10*ms, 10*ms)
+	}
+	if n := inFlight(heavy...); n < calm {
+		t.Errorf("%d in flight with one heavy request in ten, want %d as before", n, calm)
+	}
+}
+
+// Rough-2 of bengal-auth: an attempt at a backend that answers nothing must not hold the only
+// room of a quiet agent until its client leaves.
+func TestSilentBackendTakesNoRoom(t *testing.T) {
+	s := settings()
+	s.Balancers = 5 // room for one
+	r := newRig(t, s, 1, backends(6))
+	r.serve(60, unsafe, 10*ms)
+	r.request("hung", unsafe)
+	r.advance(150 * ms) // 0.35 of the aim, more than six mean latencies
+	r.request("next", safe)
+	if s := r.sent["next"]; len(s) != 1 || s[0] == r.sent["hung"][0] {
+		t.Errorf("the next request was sent to %v, want another backend than the silent %v", s, r.sent["hung"])
+	}
+}
+
+// Incident i621733: agents that see little of each backend load small ones like large ones,
+// unless the size that the list tells weighs the choice.
+func TestListedSizeWeighsTheChoice(t *testing.T) {
+	list := backends(4)
+	for i, size := range []float64{3, 1, 3, 1} {
+		list[i].Weight = size
+	}
+	r := newRig(t, settings(), 3, list)
+	r.waves(16, 8, safe, 50*ms)
+	counts := r.serve(400, safe, 50*ms)
+	large, small := counts["a"]+counts["c"], counts["b"]+counts["d"]
+	if large < 2*small || small < 40 {
+		t.Errorf("the large ones got %d and the small ones %d of 400, want about three to one", large, small)
+	}
+}
+
+// Incidents i783cc5 and i84e735: with many agents and few backends left, one attempt of each
+// agent is too much; in a crowd a small agent goes on with about as much as is answered in time.
+func TestSmallAgentIsThrottledInACrowd(t *testing.T) {
+	sent := func(latency time.Duration) (n int) {
+		s := settings()
+		s.Balancers = 40 // by head count: a fifth of an attempt
+		r := newRig(t, s, 1, backends(2))
+		for i := range 60 {
+			id := fmt.Sprint("q", i)
+			r.request(id, safe)
+			r.advance(latency)
+			if len(r.sent[id]) > 0 {
+				r.outcome(id, saltmast.OK, latency)
+				if i >= 30 {
+					n++
+				}
+			}
+		}
+		if final("last", append(r.request("last", safe), r.advance(2*time.Second)...)) != "" == (len(r.sent["last"]) > 0) {
+			t.Errorf("at %v the last request was neither sent nor answered", latency)
+		}
+		return n
+	}
+	calm, crowd := sent(80*ms), sent(600*ms)
+	if calm < 30 || crowd > 14 || crowd == 0 {
+		t.Errorf("of 30 requests %d went out when calm, %d in a crowd, want all and under half", calm, crowd)
+	}
+}
+
+// Incident iec25a3: a backend that turns work away leaves the working set, so that an agent
+// comes to use others, such as those that have joined since.
+func TestFullBackendLeavesTheWorkingSet(t *testing.T) {
+	r := newRig(t, settings(), 5, backends(20))
+	first := r.serve(40, safe, 20*ms)
+	for i := range 30 {
+		id := fmt.Sprint("q", i)
+		r.request(id, safe)
+		r.now += 20 * ms
+		if b := r.sent[id][0]; first[b] > 0 {
+			r.outcome(id, saltmast.Full, ms)
+			r.advance(100 * ms)
+		}
+		r.outcome(id, saltmast.OK, 20*ms)
+	}
+	stayed := 0
+	for b, n := range r.serve(40, safe, 20*ms) {
+		if first[b] > 0 {
+			stayed += n
+		}
+	}
+	if stayed > 8 {
+		t.Errorf("%d of 40 still go to the two that turned work away", stayed)
+	}
+}
+
+// A backend that answered nothing leaves the working set; one that answered with an error has a
+// good connection still and comes back to it after its ejection (rough-2 of kyushu-scores).
+func TestWhatLeavesTheWorkingSet(t *testing.T) {
+	for res, stays := range map[saltmast.Result]bool{saltmast.Errored: true, saltmast.TimedOut: false, saltmast.Full: false} {
+		r := newRig(t, settings(), 5, backends(20))
+		r.serve(40, safe, 20*ms)
+		r.request("q", unsafe)
+		bad := r.sent["q"][0]
+		r.now += ms
+		r.outcome("q", res, ms)
+		r.step(saltmast.Abandoned{Request: "q"})
+		r.advance(2 * time.Second)
+		if n := r.serve(60, safe, 20*ms)[bad]; n > 0 != stays {
+			t.Errorf("after result %d it got %d of 60, want some: %v", res, n, stays)
+		}
+	}
+}
+
+// ordered is a rig whose unsafe class keeps order, with a rest of 200 ms.
+func ordered(t *testing.T) *rig {
+	s := settings()
+	s.Classes[unsafe].KeepOrder, s.Classes[safe].KeepOrder = true, true
+	s.KeyRest = 200 * ms
+	return newRig(t, s, 1, backends(4))
+}
+
+func (r *rig) keyed(id string, class int, key string) []saltmast.Action {
+	return r.step(saltmast.Request{ID: id, Class: class, Left: 2000 * ms, Key: key})
+}
+
+// Requests of one key run one at a time, over all classes that keep order; others are not held up.
+func TestOrderOfAKey(t *testing.T) {
+	r := ordered(t)
+	r.keyed("one", unsafe, "k")
+	r.keyed("two", safe, "k")
+	r.keyed("other", unsafe, "l")
+	r.keyed("none", unsafe, "")
+	r.keyed("free", keyedAll, "k")
+	for id, want := range map[string]int{"one": 1, "two": 0, "other": 1, "none": 1, "free": 1} {
+		if len(r.sent[id]) != want {
+			t.Errorf("%s: %d attempts, want %d", id, len(r.sent[id]), want)
+		}
+	}
+	r.now += 10 * ms
+	r.outcome("one", saltmast.OK, 10*ms)
+	if len(r.sent["two"]) != 1 {
+		t.Error("two did not follow one at once")
+	}
+}
+
+// After a time-out the key rests: what waits goes when the rest ends, not sooner. The request whose
+// turn it is is not held up by its own time-out.
+func TestKeyRests(t *testing.T) {
+	r := ordered(t)
+	r.serve(50, unsafe, 5*ms)
+	r.keyed("one", unsafe, "k")
+	r.keyed("two", unsafe, "k")
+	r.now += 50 * ms
+	if got := final("one", r.outcome("one", saltmast.TimedOut, 50*ms)); got != "fail" {
+		t.Fatalf("one: %q, want fail", got)
+	}
+	r.advance(199 * ms)
+	if len(r.sent["two"]) != 0 {
+		t.Error("two was sent while the key rested")
+	}
+	r.advance(2 * ms)
+	if len(r.sent["two"]) != 1 {
+		t.Error("two was not sent after the rest")
+	}
+	r.keyed("head", safe, "m")
+	r.now += 50 * ms
+	r.outcome("head", saltmast.Reset, 50*ms)
+	r.advance(150 * ms)
+	if len(r.sent["head"]) < 2 {
+		t.Error("a reset held up the retry of the same request")
+	}
+}
+
+// A head that was abandoned still holds its key while its attempt is out.
+func TestKeyWaitsForTheOutcome(t *testing.T) {
+	r := ordered(t)
+	r.keyed("one", unsafe, "k")
+	r.keyed("two", unsafe, "k")
+	r.step(saltmast.Abandoned{Request: "one"})
+	if len(r.sent["two"]) != 0 {
+		t.Error("two was sent while an attempt of one was out")
+	}
+	r.now += 20 * ms
+	r.step(saltmast.Outcome{Request: "one", Backend: r.sent["one"][0], Result: saltmast.OK, Done: true, Latency: 20 * ms})
+	if len(r.sent["two"]) != 1 {
+		t.Error("two was not sent after the outcome of one")
+	}
+}
+
+// Where 'full' proves nothing, an unsafe request that met it gets no second attempt and no refusal.
+func TestFullIsNoProof(t *testing.T) {
+	for _, proof := range []bool{true, false} {
+		s := settings()
+		s.FullNoProof = !proof
+		r := newRig(t, s, 1, backends(4))
+		r.request("q", unsafe)
+		acts := r.outcome("q", saltmast.Full, ms)
+		acts = append(acts, r.advance(400*ms)...)
+		if again := len(r.sent["q"]) == 2; again != proof {
+			t.Errorf("proof %v: sent again %v", proof, again)
+		}
+		if got := final("q", acts); !proof && got != "fail" {
+			t.Errorf("no proof: %q, want fail", got)
+		}
+	}
+}
+
+// Where an agent's part of the least limit is far under one attempt, one slow attempt holds up nothing.
+func TestSparseAgentHasNoLimit(t *testing.T) {
+	s := settings()
+	s.Balancers = 400
+	r := newRig(t, s, 1, backends(4))
+	for i := range 4 {
+		if r.request(fmt.Sprint("q", i), safe); len(r.sent[fmt.Sprint("q", i)]) != 1 {
+			t.Errorf("request %d waited for another", i)
+		}
+	}
+}
+
+// Where keys warm backends, all agents send a key to the same one; and a backend that is not known
+// counts as little once such have failed while known ones answer.
+func TestWarmKeysAgree(t *testing.T) {
+	s := settings()
+	s.WarmKeys = true
+	choice := map[string]string{}
+	for seed := uint64(1); seed <= 5; seed++ {
+		r := newRig(t, s, seed, backends(8))
+		used := map[string]bool{}
+		for i := range 40 {
+			key := fmt.Sprint("k", i)
+			id := fmt.Sprint("q", i)
+			r.keyed(id, safe, key)
+			b := r.sent[id][0]
+			if choice[key] == "" {
+				choice[key] = b
+			}
+			if b != choice[key] {
+				t.Errorf("seed %d: %s went to %s, at another agent to %s", seed, key, b, choice[key])
+			}
+			used[b] = true
+			r.outcome(id, saltmast.OK, 20*ms)
+		}
+		if len(used) < 6 {
+			t.Errorf("seed %d: 40 keys went to %d backends only", seed, len(used))
+		}
+	}
+}
+
+func TestKnownFirstInTrouble(t *testing.T) {
+	s := settings()
+	s.WarmKeys, s.MaxAttempts = true, 1
+	r := newRig(t, s, 1, backends(12))
+	late := 0
+	for i := range 200 {
+		id := fmt.Sprint("q", i)
+		r.keyed(id, unsafe, fmt.Sprint("k", i))
+		r.now += 100 * ms
+		if b := r.sent[id][0]; b > "d" { // two in three fail by silence
+			r.outcome(id, saltmast.TimedOut, 100*ms)
+			if i >= 100 {
+				late++
+			}
+		} else {
+			r.outcome(id, saltmast.OK, 20*ms)
+		}
+	}
+	if late > 15 {
+		t.Errorf("%d of the last 100 went to backends that do not answer", late)
+	}
+}
+
+// Where no limit binds, an attempt that is silent for longer than nearly all answers is followed by
+// another elsewhere, at a time-out's price, while it stays out; the loser is withdrawn.
+func TestSilenceIsTriedAgain(t *testing.T) {
+	s := settings()
+	s.Balancers, s.SecondCopies, s.MayCancel = 400, true, true
+	for _, class := range []int{safe, keyedAll, unsafe} {
+		r := newRig(t, s, 1, backends(6))
+		r.serve(60, class, 20*ms)
+		r.request("q", class)
+		r.advance(15 * ms)
+		if len(r.sent["q"]) != 1 {
+			t.Fatalf("class %d: tried again after 15 ms", class)
+		}
+		r.advance(150 * ms)
+		if class == unsafe {
+			if len(r.sent["q"]) != 1 {
+				t.Error("an unsafe request was sent twice")
+			}
+			continue
+		}
+		if len(r.sent["q"]) != 2 || r.sent["q"][0] == r.sent["q"][1] {
+			t.Fatalf("class %d: attempts at %v, want two on different backends", class, r.sent["q"])
+		}
+		want := saltmast.Cancel{Request: "q", Attempt: 0}
+		if acts := r.outcome("q", saltmast.OK, 20*ms); !slices.Contains(acts, saltmast.Action(want)) {
+			t.Errorf("class %d: the first attempt was not withdrawn: %v", class, acts)
+		}
+	}
+}
+
+// Crossing zones weighs by its price, and is free of that while too little is answered in time.
+func TestCrossingByItsPrice(t *testing.T) {
+	far := func(price float64, latency time.Duration) (n int) {
+		s := settings()
+		s.Balancers, s.CrossZonePrice, s.WarmKeys = 40, price, true
+		r := newRig(t, s, 1, backends(4)) // two in the agent's zone, two in another
+		for i := range 400 {
+			id := fmt.Sprint("q", i)
+			r.keyed(id, safe, id)
+			r.advance(latency)
+			if len(r.sent[id]) > 0 {
+				if r.sent[id][0] > "b" {
+					n++
+				}
+				r.outcome(id, saltmast.OK, latency)
+			}
+		}
+		return n
+	}
+	free, dear := far(0, 20*ms), far(0.1, 20*ms)
+	if free < 100 || dear > free/4 {
+		t.Errorf("%d of 400 crossed where it is free, %d where it is dear", free, dear)
+	}
+	if late := far(0.1, 600*ms); late < 5 {
+		t.Errorf("%d crossed while all came late", late)
+	}
+}
+
+// A backend that leaves one class unanswered gets no more of it for a while, and keeps the others:
+// what these answer meanwhile shows that the backend as a whole is well.
+func TestSilentForOneClass(t *testing.T) {
+	s := settings()
+	s.Balancers, s.MaxAttempts = 400, 1
+	r := newRig(t, s, 1, backends(2))
+	lost, kept := 0, 0
+	for i := range 200 {
+		u := fmt.Sprint("u", i)
+		r.request(u, unsafe)
+		for j := range 3 {
+			q := fmt.Sprint("q", i, "-", j)
+			r.request(q, safe)
+			r.now += 10 * ms
+			r.outcome(q, saltmast.OK, 10*ms)
+			if r.sent[q][0] == "a" {
+				kept++
+			}
+		}
+		if r.sent[u][0] == "a" {
+			r.outcome(u, saltmast.TimedOut, 30*ms)
+			lost++
+		} else {
+			r.outcome(u, saltmast.OK, 10*ms)
+		}
+		r.now += 50 * ms
+	}
+	if lost > 21 || kept < 100 {
+		t.Errorf("%d of 200 of the class went unanswered, %d of 600 others were served there", lost, kept)
+	}
+}
+
+// A newcomer does not get a request from every quiet agent at once: each first earns a random part of
+// its cost.
+func TestNewcomerIsNotRushed(t *testing.T) {
+	sent := 0
+	for seed := uint64(1); seed <= 100; seed++ {
+		s := settings()
+		s.Balancers = 100
+		r := newRig(t, s, seed, backends(2))
+		r.serve(20, safe, 20*ms)
+		r.step(saltmast.List{Kind: saltmast.ListDelta, Backends: []saltmast.Backend{{ID: "z", Started: r.now}}})
+		r.now += 20 * ms
+		for i := range 7 {
+			r.request(fmt.Sprint("q", i), safe)
+		}
+		for i := range 7 {
+			if len(r.sent[fmt.Sprint("q", i)]) > 0 && r.sent[fmt.Sprint("q", i)][0] == "z" {
+				sent++
+				break
+			}
+		}
+	}
+	if sent > 50 {
+		t.Errorf("%d of 100 agents sent to the newcomer within 20 ms", sent)
+	}
+}
--- /dev/null
+++ b/state.go
@@ -0,0 +1,127 @@
+package saltmast
+
+// The types of a balancer's state; what they are used for is decided in saltmast.go.
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Balancer decides for one agent. See the package comment for its use.
+type Balancer struct {
+	s       Settings
+	rng     *rand.Rand
+	now     time.Duration
+	actions []Action
+
+	backends []*backend // in the order in which they were first listed
+	byID     map[string]*backend
+	requests map[string]*request
+	held     []*request       // waiting for room, oldest first
+	lines    map[string]*line // of ordered requests, by key
+	resting  []*line          // lines whose key rests or has rested, in the order of its end
+	timers   map[int64]*request
+	token    int64 // last timer token given out
+
+	tokens   float64 // the retry bucket
+	classes  []classState
+	inFlight int
+	stuck    int     // of these, on backends that are not counted in capacity
+	perBack  float64 // attempts that all agents may have in flight together, per backend that is up
+	up       int     // backends that the list says are up
+	warm     int     // of these, not cold
+	capacity float64 // their number, each counted by its warmth
+	delay    float64 // running mean of latency over aim
+	vary     float64 // running mean deviation of latency from the mean of its class, over that mean
+	answers  float64 // that delay rests on
+	base     float64 // its low: what it is without queues
+	cutAt    time.Duration
+	sent     float64 // requests sent lately ...
+	inTime   float64 // ... and those answered within their aim
+	decayAt  time.Duration
+
+	doneWork float64 // decayed work that warm backends served
+	doneAt   time.Duration
+	askFails int
+	askToken int64
+}
+
+type classState struct {
+	Class
+	latency  float64       // running mean of served latency, ns
+	freshOK  float64       // share answered in time by backends outside the working set ...
+	knownOK  float64       // ... and by those within
+	value    float64       // what a unit of work adds to the goal, in this step
+	patience time.Duration // the usual patience of a client's try
+	work     float64       // running mean of the expected work told with requests, ns
+	arrived  float64       // decayed count of requests
+	answered float64       // decayed count of requests answered within the aim
+}
+
+type backend struct {
+	Backend
+	hash     uint64
+	out      []*attempt // oldest first
+	seen     bool       // has answered this balancer since it started
+	slow     float64    // running mean of its latency over the mean of all
+	samples  float64    // answers that slow rests on
+	strikes  float64
+	ejected  time.Duration // no traffic before this time
+	struckAt time.Duration
+	fullTill time.Duration
+	shuns    []shun // by class
+	lastOK   time.Duration
+	down     bool          // connections failed or broke since the last answer
+	linked   bool          // in the working set: connected as far as can be told, and not turning work away
+	usedAt   time.Duration // when that was last used
+	warmFrom time.Duration // when its latest start became known or seen
+	cold     bool
+	budget   float64 // work that may be sent while it is cold
+	budgetAt time.Duration
+}
+
+// line is the order of a key: the requests taken for it that are not over, oldest first.
+type line struct {
+	key   string
+	queue []*request
+	rest  time.Duration // nothing new of this key before
+}
+
+type attempt struct {
+	b        *backend
+	sent     time.Duration
+	cost     float64
+	patience time.Duration // without any answer of its backend for so long, that is silent
+	open     bool
+	fresh    bool // its backend was not in the working set
+}
+
+type request struct {
+	id       string
+	class    int
+	aim      time.Duration // answers after this time earn less
+	deadline time.Duration
+	key      uint64        // hash of what it is about; 0: nothing told
+	line     *line         // of its key, where order is kept
+	rest     time.Duration // its key rests until then, once it is over
+	work     float64       // expected work as told, ns; 0: unknown
+	attempts []*attempt
+	open     int      // attempts out
+	risky    int      // attempts that may have run, those out included
+	anchor   *attempt // the first of these: sets the group and the window
+	retries  int
+	failed   *backend // the backend that failed it last
+	timer    int64    // the token of its latest timer; earlier ones are void
+	repeat   bool     // a later try of the client: part of its aim has passed
+	waiting  bool     // for its backoff
+	passed   bool     // found no backend in this step
+	holding  bool
+	stream   bool
+	ended    bool
+}
+
+// shun is how long a backend gets nothing of one class.
+type shun struct {
+	till  time.Duration
+	fails float64 // in a row
+}
