--- /dev/null
+++ b/cmd/violetlatch/main.go
@@ -0,0 +1,48 @@
+// Command violetlatch is one real agent: the decision module on sockets, beside one application.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"saltmast/internal/agent"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "violetlatch:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	runtime.GOMAXPROCS(1) // an agent has one core, which it may share
+	path := os.Getenv("GW_CONFIG")
+	if path == "" {
+		return errors.New("GW_CONFIG names no configuration file")
+	}
+	c, err := agent.LoadConfig(path)
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	debug.SetGCPercent(400) // a small heap: collect seldom, but well before the limit
+	if c.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4)
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("agent", c.Name)
+	a, err := agent.New(c, log)
+	if err != nil {
+		return err
+	}
+	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer release()
+	log.Info("serving", "listen", a.Addr().String())
+	return a.Run(stop)
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,72 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+)
+
+// acceptFor after a stop was asked for, new connections are still taken: clients hear of it late, and
+// what waits in a closed listener's queue is lost.
+const acceptFor = 500 * time.Millisecond
+
+// Agent is one agent: a listener for the application, the loop, and its connections.
+type Agent struct {
+	loop     *Loop
+	front    *front
+	server   *http.Server
+	listener net.Listener
+	log      *slog.Logger
+}
+
+// New makes an agent and listens; it serves once Run is called.
+func New(c *Config, log *slog.Logger) (*Agent, error) {
+	loop, err := newLoop(c, NewClock(), log)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	a := &Agent{loop: loop, front: newFront(c, loop), listener: listener, log: log}
+	a.server = &http.Server{Handler: a.front, ReadHeaderTimeout: 30 * time.Second, IdleTimeout: 5 * time.Minute,
+		MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
+	return a, nil
+}
+
+// Addr is where the agent listens.
+func (a *Agent) Addr() net.Addr { return a.listener.Addr() }
+
+// Run serves until stop ends, then finishes what was taken.
+func (a *Agent) Run(stop context.Context) error {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
+	defer cancel()
+	go a.loop.Run(ctx)
+	failed := make(chan error, 1)
+	go func() { failed <- a.server.Serve(a.listener) }()
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serving: %w", err)
+	case <-stop.Done():
+	}
+	a.log.Info("draining")
+	a.front.draining.Store(true)
+	a.loop.post(drain{})
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serving: %w", err)
+	case <-time.After(acceptFor):
+	}
+	bound, done := context.WithTimeout(ctx, drainFor-acceptFor+100*time.Millisecond)
+	defer done()
+	if err := a.server.Shutdown(bound); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("stopping: %w", err)
+	}
+	a.log.Info("stopped")
+	return a.server.Close()
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -27,6 +27,7 @@
 		Stream     bool
 	}
 	Tenants []struct {
+		Name      string
 		Portion   float64
 		QuotaPerS float64
 	}
@@ -80,12 +81,34 @@
 	"throughput": saltmast.FieldThroughput, "errors_per_s": saltmast.FieldErrors,
 }
 
-// parseSettings translates the settings object. Unknown keys are ignored.
+// Names are the settings' words for what the module knows by position.
+type Names struct{ Classes, Tenants, Zones, Kinds []string }
+
+// parseSettings translates the settings object of the bench.
 func parseSettings(raw []byte) (saltmast.Settings, error) {
+	s, _, err := ParseSettings(raw)
+	return s, err
+}
+
+// ParseSettings translates the settings object, which the bench's first message and a real agent's
+// configuration hold in the same form. Unknown keys are ignored.
+func ParseSettings(raw []byte) (saltmast.Settings, Names, error) {
 	var f facts
 	if err := json.Unmarshal(raw, &f); err != nil {
-		return saltmast.Settings{}, fmt.Errorf("Facts: %w", err)
+		return saltmast.Settings{}, Names{}, fmt.Errorf("Facts: %w", err)
+	}
+	names := Names{Zones: f.Dcs, Kinds: f.Kinds}
+	for _, p := range f.Profiles {
+		names.Classes = append(names.Classes, p.Name)
 	}
+	for _, t := range f.Tenants {
+		names.Tenants = append(names.Tenants, t.Name)
+	}
+	s, err := f.settings()
+	return s, names, err
+}
+
+func (f *facts) settings() (saltmast.Settings, error) {
 	s := saltmast.Settings{
 		Balancers:      f.Balancers,
 		Self:           f.Me,
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -302,6 +302,18 @@
 	return l
 }
 
+// LoadReport translates a load report, by the names of the wire or by the bench's own, which real
+// backends use.
+func LoadReport(usage map[string]float64) saltmast.Load {
+	for own, name := range map[string]string{"inflight": "outstanding", "queue": "backlog", "util": "utilization",
+		"latency_ms": "recent_ms", "qps": "throughput", "eps": "errors_per_s"} {
+		if v, ok := usage[own]; ok {
+			usage[name] = v
+		}
+	}
+	return load(usage)
+}
+
 func duration(ms float64) time.Duration { return time.Duration(math.Round(ms * 1e6)) }
 
 // Writer writes replies.
