Test the agent over loopback sockets; half a head is a reset

Cause: readReply took an answer head cut off in mid-line for a malformed one, since the codec reports both alike (error in place of reset; both may have run, so no rule was at stake). The connection now notes how it ended. Tests cover the outcome table, hidden retries, dead and silent connections, drains, bad input, the safety net, refusals, the watch and the stop. Conclusion: check.sh now starts both programs too.

--- a/check.sh
+++ b/check.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
 # The project's one test command (see README.md): formatting, vet, tests, the
-# deploy file's build, and the limits of the decision module.
+# deploy file's build, the limits of the decision module, and a start of both programs.
 set -euo pipefail
 cd "$(dirname "$0")"
 
@@ -10,12 +10,12 @@
 	exit 1
 fi
 go vet ./...
-go test -count=1 ./...
+go test -count=1 . ./internal/wire ./cmd/simhost
+go test -count=1 -race ./internal/agent
 
 build=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/balancer.toml)
 [ -n "$build" ] || { echo "deploy/balancer.toml: no build command" >&2; exit 1; }
 sh -c "$build"
-[ -x bin/simhost ] || { echo "the build left no bin/simhost" >&2; exit 1; }
 
 policy=$(sed -n 's/^policy = \["\(.*\)"\]$/\1/p' deploy/balancer.toml)
 [ -s "$policy" ] || { echo "deploy/balancer.toml: policy names no file" >&2; exit 1; }
@@ -30,3 +30,37 @@
 	exit 1
 fi
 echo "$policy: $lines lines that are not blank"
+
+# The adapter answers an empty batch; the agent starts, says where it listens, and stops when asked.
+key() { sed -n "s/^$1 = \"\(.*\)\"\$/\1/p" deploy/balancer.toml; }
+reply=$(printf '{"msg":"Frame","ClockMs":1}\n{"msg":"End"}\n' | sh -c "$(key sim)")
+[ "$reply" = '{"msg":"Eor"}' ] || { echo "the adapter answered '$reply' to an empty batch" >&2; exit 1; }
+
+dir=$(mktemp -d)
+pid=
+trap '[ -z "$pid" ] || kill "$pid" 2>/dev/null || true; rm -rf "$dir"' EXIT
+if GW_CONFIG="$dir/none.json" sh -c "$(key run)" 2>"$dir/log"; then
+	echo "the agent starts without a configuration" >&2
+	exit 1
+fi
+[ "$(wc -l <"$dir/log")" -eq 1 ] || { echo "not one plain line for a bad configuration:" >&2; cat "$dir/log" >&2; exit 1; }
+cat >"$dir/config.json" <<'JSON'
+{"name": "check", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
+ "limits": {"cores": 1, "memory_mb": 192, "sockets": 1024}, "known": {"version": 1, "full": true, "servers": []},
+ "settings": {"Balancers": 1, "Me": 0, "Contract": {"ColdFrom": 1}, "PolicyLimits": {"ConnectTimeoutMs": 250},
+  "Profiles": [{"Name": "a", "AimMs": 100, "DeadlineMs": 500, "Worth": 1, "Semantics": "once"}]}}
+JSON
+GW_CONFIG="$dir/config.json" sh -c "$(key run)" 2>"$dir/log" &
+pid=$!
+for _ in $(seq 300); do
+	grep -q 'msg=serving' "$dir/log" && break
+	kill -0 "$pid" 2>/dev/null || break
+	sleep 0.1
+done
+grep -q 'msg=serving' "$dir/log" || { echo "the agent does not start:" >&2; cat "$dir/log" >&2; exit 1; }
+kill -TERM "$pid"
+status=0
+wait "$pid" || status=$?
+pid=
+[ "$status" -eq 0 ] || { echo "the agent ended with status $status:" >&2; cat "$dir/log" >&2; exit 1; }
+echo "both programs start"
--- /dev/null
+++ b/internal/agent/backend_test.go
@@ -0,0 +1,326 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"saltmast"
+)
+
+// newBackends knows the given addresses as s0, s1 ...
+func newBackends(t *testing.T, addrs ...string) *backends {
+	t.Helper()
+	l := Listing{Full: true}
+	for i, addr := range addrs {
+		l.Servers = append(l.Servers, Server{ID: fmt.Sprintf("s%d", i), Addr: addr, State: "SERVING"})
+	}
+	table := &members{m: map[string]Server{}}
+	table.apply(l)
+	return &backends{pool: newPool(time.Minute, 250*time.Millisecond, 0), table: table, probing: long,
+		log: logTo(&capture{})}
+}
+
+func settle() *call {
+	return &call{id: "00000000000000a1", method: "POST", host: "api.internal", target: &url.URL{Opaque: "/settle"},
+		body: []byte("x")}
+}
+
+func (b *backends) try(q *call, wait time.Duration) (saltmast.Result, reply) {
+	return b.attempt(context.Background(), q, "s0", time.Now().Add(wait))
+}
+
+// Guards the protocol's table of outcomes, on which the rule on repeats rests, and against a request
+// that goes out more than once for one attempt.
+func TestOutcomes(t *testing.T) {
+	rejected := func(status int) func(net.Conn, *http.Request, []byte) bool {
+		return func(c net.Conn, _ *http.Request, _ []byte) bool {
+			answerWith(c, status, "X-Rejected: 1\r\n", "")
+			return true
+		}
+	}
+	plain := func(status int, body string) func(net.Conn, *http.Request, []byte) bool {
+		return func(c net.Conn, _ *http.Request, _ []byte) bool { answerWith(c, status, "", body); return true }
+	}
+	raw := func(text string) func(net.Conn, *http.Request, []byte) bool {
+		return func(c net.Conn, _ *http.Request, _ []byte) bool { fmt.Fprint(c, text); return false }
+	}
+	tests := []struct {
+		name string
+		do   func(net.Conn, *http.Request, []byte) bool
+		wait time.Duration
+		want saltmast.Result
+	}{
+		{"served", echo, long, saltmast.OK},
+		{"error", plain(500, "no"), long, saltmast.Errored},
+		{"turned away", rejected(503), long, saltmast.Full},
+		{"turned away as over", rejected(504), long, saltmast.Full},
+		{"503 with no word of having run", plain(503, ""), long, saltmast.Errored},
+		{"an unknown status", plain(302, ""), long, saltmast.Errored},
+		{"an error marked as rejected", rejected(500), long, saltmast.Errored},
+		{"closed with no answer", raw(""), long, saltmast.Reset},
+		{"half a head", raw("HTTP/1.1 200 OK\r\nCont"), long, saltmast.Reset},
+		{"half a body", raw("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), long, saltmast.Reset},
+		{"half a chunked body", raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"), long, saltmast.Reset},
+		{"no HTTP at all", raw("220 mail\r\n\r\n"), long, saltmast.Errored},
+		{"an endless head", raw("HTTP/1.1 200 OK\r\n" + strings.Repeat("A: b\r\n", 1<<16)), long, saltmast.Reset},
+		{"too large a body", plain(200, strings.Repeat("x", maxBody+1)), long, saltmast.Errored},
+		{"the largest body", plain(200, strings.Repeat("x", maxBody)), long, saltmast.OK},
+		{"silence", hang, 100 * time.Millisecond, saltmast.TimedOut},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			p := newPeer(t, tt.do)
+			b := newBackends(t, p.addr())
+			res, _ := b.try(settle(), tt.wait)
+			if res != tt.want {
+				t.Errorf("result %d, want %d", res, tt.want)
+			}
+			if n := len(p.got); n != 1 {
+				t.Errorf("the backend got %d requests for one attempt", n)
+			}
+		})
+	}
+}
+
+func TestRefusedConnection(t *testing.T) {
+	p := newPeer(t, echo)
+	p.Close()
+	b := newBackends(t, p.addr())
+	if res, _ := b.try(settle(), long); res != saltmast.ConnectFailed {
+		t.Errorf("result %d, want ConnectFailed", res)
+	}
+}
+
+// Guards against a machine that vanished: its connections never come up, and the attempt must end
+// within the connect time-out, with proof that it never ran.
+func TestConnectionNeverComesUp(t *testing.T) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	full := false
+	for range 20 { // fill the queue of connections that nobody accepts
+		c, err := net.DialTimeout("tcp", addr, 200*time.Millisecond)
+		if full = err != nil; full {
+			break
+		}
+		defer c.Close()
+	}
+	if !full {
+		t.Skip("this system takes connections without end")
+	}
+	b := newBackends(t, addr)
+	begun := time.Now()
+	res, _ := b.try(settle(), long)
+	if took := time.Since(begun); res != saltmast.ConnectFailed || took > long/2 {
+		t.Errorf("result %d after %v, want ConnectFailed within the connect time-out", res, took)
+	}
+}
+
+// Guards against hidden retries: a reused connection that breaks after the write may have run its
+// request, even if nothing came back, and nothing may send that again by itself.
+func TestReusedConnectionBreaks(t *testing.T) {
+	var n atomic.Int32
+	p := newPeer(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		if n.Add(1) == 2 {
+			return false
+		}
+		return echo(c, r, body)
+	})
+	b := newBackends(t, p.addr())
+	if res, _ := b.try(settle(), long); res != saltmast.OK {
+		t.Fatalf("first: result %d", res)
+	}
+	if res, _ := b.try(settle(), long); res != saltmast.Reset {
+		t.Errorf("second: result %d, want Reset", res)
+	}
+	if len(p.got) != 2 {
+		t.Errorf("the backend got %d requests for two attempts", len(p.got))
+	}
+}
+
+func TestConnectionIsReused(t *testing.T) {
+	addrs := map[string]bool{}
+	p := newPeer(t, echo)
+	b := newBackends(t, p.addr())
+	for range 5 {
+		if res, r := b.try(settle(), long); res != saltmast.OK || string(r.body) != "did x" {
+			t.Fatalf("result %d, body %q", res, r.body)
+		}
+		addrs[receive(t, p.got).RemoteAddr] = true
+	}
+	if len(addrs) != 1 {
+		t.Errorf("5 requests one after the other took %d connections", len(addrs))
+	}
+}
+
+// Guards against writing to a connection that the backend has closed while it was idle: the request
+// would end as a reset, which an unsafe one does not survive.
+func TestIdleEndIsNoticed(t *testing.T) {
+	var n atomic.Int32
+	p := newPeer(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		echo(c, r, body)
+		return n.Add(1) > 1 // closes the first connection after its answer, unannounced
+	})
+	b := newBackends(t, p.addr())
+	b.try(settle(), long)
+	until(t, "the dead connection to be dropped", func() bool { return b.pool.count() == 0 })
+	if res, _ := b.try(settle(), long); res != saltmast.OK {
+		t.Errorf("result %d, want OK on a new connection", res)
+	}
+}
+
+// Guards against meeting the backend's own idle time-out: the agent closes first.
+func TestIdleTimeout(t *testing.T) {
+	p := newPeer(t, echo)
+	b := newBackends(t, p.addr())
+	b.pool.maxIdle = 10 * time.Millisecond
+	if res, _ := b.try(settle(), long); res != saltmast.OK {
+		t.Fatal("not served")
+	}
+	receive(t, p.closed)
+	until(t, "the pool to forget it", func() bool { return b.pool.count() == 0 })
+}
+
+// Guards against sends that are under way when the word of a drain, or the request's end, comes.
+func TestNothingGoesOutAfterTheDial(t *testing.T) {
+	tests := []struct {
+		name  string
+		event func(b *backends, q *call)
+	}{
+		{"draining", func(b *backends, _ *call) {
+			b.table.apply(Listing{Servers: []Server{{ID: "s0", Addr: "127.0.0.1:1", State: "DRAINING"}}})
+		}},
+		{"gone", func(b *backends, _ *call) { b.table.apply(Listing{Full: true}) }},
+		{"ended", func(_ *backends, q *call) { q.over.Store(true) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := newPeer(t, echo)
+			b, q := newBackends(t, p.addr()), settle()
+			b.pool.dialer.Control = func(_, _ string, _ syscall.RawConn) error { tt.event(b, q); return nil }
+			if res, _ := b.try(q, long); res != saltmast.NotSent {
+				t.Errorf("result %d, want NotSent", res)
+			}
+			b.pool.closeIdle("s0")
+			receive(t, p.closed) // the connection ended, with no request on it
+			if len(p.got) != 0 {
+				t.Error("the backend got a request")
+			}
+		})
+	}
+}
+
+// Guards against a machine that vanished with idle connections open: what is written there is
+// swallowed, and an unsafe request never gets another attempt.
+func TestSilenceClosesIdleConnections(t *testing.T) {
+	quiet, gate := make(chan bool, 1), make(chan struct{})
+	p := newPeer(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		select {
+		case <-quiet:
+			return hang(c, r, body)
+		default:
+			<-gate
+			return echo(c, r, body)
+		}
+	})
+	b := newBackends(t, p.addr())
+	done := make(chan saltmast.Result, 2)
+	for range 2 { // two at a time need two connections
+		go func() { res, _ := b.try(settle(), long); done <- res }()
+	}
+	receive(t, p.got)
+	receive(t, p.got)
+	close(gate)
+	if receive(t, done) != saltmast.OK || receive(t, done) != saltmast.OK {
+		t.Fatal("not served")
+	}
+	quiet <- true
+	if res, _ := b.try(settle(), 100*time.Millisecond); res != saltmast.TimedOut {
+		t.Fatalf("result %d, want TimedOut", res)
+	}
+	if n := b.pool.count(); n != 0 {
+		t.Errorf("%d connections are left to a silent backend", n)
+	}
+}
+
+// Guards against giving up an attempt without closing its connection, on which it would still count.
+func TestCancelClosesTheConnection(t *testing.T) {
+	p := newPeer(t, func(c net.Conn, _ *http.Request, _ []byte) bool { return true }) // reads on
+	b := newBackends(t, p.addr())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan saltmast.Result, 1)
+	go func() {
+		res, _ := b.attempt(ctx, settle(), "s0", time.Now().Add(long))
+		done <- res
+	}()
+	receive(t, p.got)
+	cancel()
+	if res := receive(t, done); res != saltmast.Cancelled {
+		t.Errorf("result %d, want Cancelled", res)
+	}
+	receive(t, p.closed)
+}
+
+// Guards against running out of descriptors: an idle connection elsewhere makes room, and when none
+// is idle the attempt fails unsent.
+func TestConnectionLimit(t *testing.T) {
+	p, q := newPeer(t, echo), newPeer(t, echo)
+	b := newBackends(t, p.addr(), q.addr())
+	b.pool.limit = 1
+	if res, _ := b.try(settle(), long); res != saltmast.OK {
+		t.Fatal("not served")
+	}
+	if res, _ := b.attempt(context.Background(), settle(), "s1", time.Now().Add(long)); res != saltmast.OK {
+		t.Errorf("result %d, want OK in place of the idle connection", res)
+	}
+	receive(t, p.closed)
+	c := b.pool.take("s1")
+	if res, _ := b.try(settle(), long); res != saltmast.ConnectFailed {
+		t.Errorf("result %d, want ConnectFailed at the limit", res)
+	}
+	b.pool.close(c)
+}
+
+func TestProbe(t *testing.T) {
+	var status atomic.Int32
+	status.Store(200)
+	p := newPeer(t, func(c net.Conn, r *http.Request, _ []byte) bool {
+		answerWith(c, int(status.Load()), "", "TEXT inflight=7, queue=2, util=0.61")
+		return true
+	})
+	b := newBackends(t, p.addr())
+	if res, _ := b.probe(context.Background(), "s0"); res != saltmast.OK || receive(t, p.got).URL.Path != "/healthz" {
+		t.Errorf("result %d", res)
+	}
+	b.reports = saltmast.ReportsProbes
+	_, r := b.probe(context.Background(), "s0")
+	if l := loadReport(r); receive(t, p.got).URL.Path != "/load" || l.InFlight != 7 || l.Queue != 2 || l.Utilization != 0.61 || l.Throughput != -1 {
+		t.Errorf("load %+v", l)
+	}
+	status.Store(503)
+	if res, _ := b.probe(context.Background(), "s0"); res != saltmast.Errored {
+		t.Errorf("result %d, want Errored", res)
+	}
+}
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -133,13 +133,14 @@
 
 // discovery asks for the list and watches it, when told to. Its events reach the loop by post.
 type discovery struct {
-	base   string // URL of the list
-	client *http.Client
-	table  *members
-	stale  func(backend string) // closes idle connections
-	post   func(any)
-	event  func(Listing, saltmast.ListKind) saltmast.List
-	log    *slog.Logger
+	base    string // URL of the list
+	client  *http.Client
+	table   *members
+	stale   func(backend string) // closes idle connections
+	post    func(any)
+	silence time.Duration // see watchSilence
+	event   func(Listing, saltmast.ListKind) saltmast.List
+	log     *slog.Logger
 
 	mu      sync.Mutex // orders listings, from reading to posting
 	version int64
@@ -202,7 +203,7 @@
 }
 
 func (d *discovery) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, watchSilence)
+	ctx, cancel := context.WithTimeout(ctx, d.silence)
 	defer cancel()
 	resp, err := d.get(ctx, d.base)
 	if err != nil {
@@ -242,7 +243,7 @@
 func (d *discovery) watch(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silence := time.AfterFunc(watchSilence, cancel)
+	silence := time.AfterFunc(d.silence, cancel)
 	defer silence.Stop()
 	resp, err := d.get(ctx, fmt.Sprintf("%s?follow=1&since=%d", d.base, d.known()))
 	if err != nil {
@@ -252,7 +253,7 @@
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, 4096), maxListing)
 	for lines.Scan() {
-		silence.Reset(watchSilence)
+		silence.Reset(d.silence)
 		line := bytes.TrimSpace(lines.Bytes())
 		if len(line) == 0 {
 			continue
--- /dev/null
+++ b/internal/agent/discovery_test.go
@@ -0,0 +1,146 @@
+package agent
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"saltmast"
+)
+
+// follow runs a discovery whose events come out of the channel.
+func follow(t *testing.T, d *lists, silence time.Duration) (*discovery, chan saltmast.List) {
+	t.Helper()
+	c := config(t, d.addr, entry("s0", "127.0.0.1:1", "SERVING"), entry("s1", "127.0.0.1:2", "SERVING"))
+	events := make(chan saltmast.List, 10)
+	table := &members{m: map[string]Server{}}
+	known := c.Known
+	known.Full = true
+	table.apply(known)
+	disc := &discovery{base: "http://" + d.addr + "/v1/servers", client: newListClient(), table: table,
+		stale: func(string) {}, post: func(m any) { events <- m.(saltmast.List) }, silence: silence,
+		event: lister(c, NewClock()), log: logTo(&capture{}), version: 1}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	disc.subscribe(ctx)
+	return disc, events
+}
+
+func TestWatch(t *testing.T) {
+	d := newLists(t)
+	disc, events := follow(t, d, long)
+	if q := receive(t, d.watch); q != "follow=1&since=1" {
+		t.Errorf("watched with %q", q)
+	}
+	d.say <- ""
+	d.say <- `{"version":2,"full":false,"servers":[` + entry("s0", "127.0.0.1:1", "DRAINING") + `]}`
+	e := receive(t, events)
+	if e.Kind != saltmast.ListDelta || len(e.Backends) != 1 || e.Backends[0].State != saltmast.Draining || e.Backends[0].Zone != 0 {
+		t.Errorf("event %+v", e)
+	}
+	if _, ok := disc.table.serving("s0"); ok {
+		t.Error("a draining backend may still get work")
+	}
+	d.say <- `{"version":3,"full":true,"servers":[` + entry("s0", "127.0.0.1:1", "SERVING") + `]}`
+	if e := receive(t, events); e.Kind != saltmast.ListFull {
+		t.Errorf("event %+v", e)
+	}
+	if _, ok := disc.table.serving("s1"); ok {
+		t.Error("a backend that left the list may still get work")
+	}
+	d.cut <- struct{}{}
+	if e := receive(t, events); e.Kind != saltmast.ListFailed {
+		t.Errorf("event %+v", e)
+	}
+	disc.subscribe(context.Background())
+	if q := receive(t, d.watch); q != "follow=1&since=3" {
+		t.Errorf("watched again with %q", q)
+	}
+	disc.unsubscribe()
+}
+
+// Guards against a watch that a cut-off network holds open for ever.
+func TestSilentWatch(t *testing.T) {
+	d := newLists(t)
+	_, events := follow(t, d, 100*time.Millisecond)
+	if e := receive(t, events); e.Kind != saltmast.ListFailed {
+		t.Errorf("event %+v", e)
+	}
+}
+
+// Guards against half a list, which would look like backends that are gone.
+func TestMalformedLists(t *testing.T) {
+	good := entry("s0", "127.0.0.1:1", "SERVING")
+	for name, line := range map[string]string{
+		"no JSON":          `{"version":2,"servers":[`,
+		"no version":       `{"full":true,"servers":[` + good + `]}`,
+		"no servers":       `{"version":2,"full":true}`,
+		"no id":            `{"version":2,"full":true,"servers":[` + entry("", "127.0.0.1:1", "SERVING") + `]}`,
+		"an unknown state": `{"version":2,"full":true,"servers":[` + strings.Replace(good, "SERVING", "ASLEEP", 1) + `]}`,
+		"a bad address":    `{"version":2,"full":true,"servers":[` + entry("s0", "here", "SERVING") + `]}`,
+		"a bad type":       `{"version":2,"full":true,"servers":{}}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newLists(t)
+			d.whole = func() string { return line }
+			disc, events := follow(t, d, long)
+			receive(t, d.watch)
+			d.say <- line
+			if e := receive(t, events); e.Kind != saltmast.ListFailed {
+				t.Errorf("watch: event %+v", e)
+			}
+			disc.fetch(context.Background())
+			if e := receive(t, events); e.Kind != saltmast.ListFailed {
+				t.Errorf("list: event %+v", e)
+			}
+			if _, ok := disc.table.serving("s1"); !ok {
+				t.Error("the old list no longer stands")
+			}
+		})
+	}
+}
+
+func TestFetch(t *testing.T) {
+	d := newLists(t)
+	d.whole = func() string {
+		return `{"version":9,"full":true,"servers":[` + entry("s7", "127.0.0.1:7", "SERVING") + `]}`
+	}
+	disc, events := follow(t, d, long)
+	disc.fetch(context.Background())
+	if e := receive(t, events); e.Kind != saltmast.ListFull || len(e.Backends) != 1 || e.Backends[0].ID != "s7" {
+		t.Errorf("event %+v", e)
+	}
+}
+
+// Guards against idle connections to a process that is no more: all that drains, left, moved or was
+// started again is named as stale.
+func TestStaleBackends(t *testing.T) {
+	table := &members{m: map[string]Server{}}
+	s := func(id, addr, state string, started float64) Server {
+		return Server{ID: id, Addr: addr, State: state, StartedMs: started}
+	}
+	table.apply(Listing{Full: true, Servers: []Server{s("a", "x:1", "SERVING", 0), s("b", "x:2", "SERVING", 0),
+		s("c", "x:3", "SERVING", 0), s("d", "x:4", "SERVING", 0), s("e", "x:5", "SERVING", 0)}})
+	stale := table.apply(Listing{Full: true, Servers: []Server{s("a", "x:1", "DRAINING", 0), s("b", "x:9", "SERVING", 0),
+		s("c", "x:3", "SERVING", 77), s("d", "x:4", "SERVING", 0)}})
+	if got := strings.Join(stale, ""); got != "abce" {
+		t.Errorf("stale %q, want abce", got)
+	}
+}
+
+// Guards against a start time that reads as "long ago", and one that moves from list to list.
+func TestStartTimes(t *testing.T) {
+	clock := NewClock()
+	if got := clock.FromUnixMs(0); got != 0 {
+		t.Errorf("long ago became %v", got)
+	}
+	ms := float64(time.Now().UnixMilli() - 3000)
+	first := clock.FromUnixMs(ms)
+	if age := clock.Now() - first; age < 2900*time.Millisecond || age > 3*time.Second+long {
+		t.Errorf("started 3 s ago became %v ago", age)
+	}
+	if clock.FromUnixMs(ms) != first {
+		t.Error("one start time became two")
+	}
+}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -23,12 +23,17 @@
 	drainFor = 3200 * time.Millisecond
 )
 
+// decider is the decision module; in service a *saltmast.Balancer.
+type decider interface {
+	Step(now time.Duration, events []saltmast.Event) []saltmast.Action
+}
+
 // Loop is the one goroutine that owns the Balancer. What happens comes to it through post; it never
 // waits for I/O.
 type Loop struct {
 	clock Clock
 	s     saltmast.Settings
-	bal   *saltmast.Balancer
+	bal   decider
 	back  *backends
 	disc  *discovery
 	log   *slog.Logger
@@ -94,7 +99,7 @@
 	l.back = &backends{pool: pool, table: table, reports: c.Settings.Reports,
 		probing: 2 * c.Settings.ConnectTimeout, log: log}
 	l.disc = &discovery{base: "http://" + c.Discovery + "/v1/servers", client: newListClient(), table: table,
-		stale: pool.closeIdle, post: l.post, event: lister(c, clock), log: log}
+		stale: pool.closeIdle, post: l.post, silence: watchSilence, event: lister(c, clock), log: log}
 	known := c.Known
 	known.Full = true
 	l.disc.version = known.Version
@@ -103,7 +108,7 @@
 	return l, nil
 }
 
-// post hands something to the loop. It returns false once the loop has ended.
+// post hands something to the loop; once that has ended it comes to nothing.
 func (l *Loop) post(m any) {
 	select {
 	case l.in <- m:
--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -38,9 +38,19 @@
 	backend string
 	epoch   int
 	in      *bufio.Reader
-	room    *io.LimitedReader // bounds what one answer may take, its head too
-	wait    *exchange         // guarded by pool.mu; nil while idle
-	closed  bool              // guarded by pool.mu
+	room    io.LimitedReader // bounds what one answer may take, its head too; reads through end
+	end     error            // how the connection ended, once its reader has seen that
+	wait    *exchange        // guarded by pool.mu; nil while idle
+	closed  bool             // guarded by pool.mu
+}
+
+// Read notes how the connection ended, since half a head looks like a malformed one to the codec.
+func (c *conn) Read(p []byte) (n int, err error) {
+	n, err = c.Conn.Read(p)
+	if err != nil {
+		c.end = err
+	}
+	return n, err
 }
 
 // exchange is one request on a connection.
@@ -97,9 +107,9 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	room := &io.LimitedReader{R: nc}
-	c := &conn{Conn: nc, backend: backend, epoch: epoch, in: bufio.NewReaderSize(room, 4096), room: room,
-		wait: &exchange{reply: make(chan reply, 1)}}
+	c := &conn{Conn: nc, backend: backend, epoch: epoch, wait: &exchange{reply: make(chan reply, 1)}}
+	c.room.R = c
+	c.in = bufio.NewReaderSize(&c.room, 4096)
 	go p.read(c)
 	return c, nil
 }
@@ -139,7 +149,7 @@
 // read delivers the reply of each exchange on c and ends it with c.
 func (p *pool) read(c *conn) {
 	for {
-		c.room.N = 2 * maxBody
+		c.room.N, c.end = 2*maxBody, nil
 		_, err := c.in.Peek(1)
 		p.mu.Lock()
 		w := c.wait
@@ -161,6 +171,9 @@
 			r.err = errMalformed // an answer before the request
 		} else if err == nil {
 			r, again = readReply(c.in, req)
+			if r.err != nil && c.end != nil {
+				r.err = c.end
+			}
 		}
 		r.at = time.Now()
 		p.mu.Lock()
