Let an attempt that times out with its request end it at once

Cause: loop.go cut attempts 20 ms before the deadline it told the module (Loop.send and Loop.step), so retry() found time left, set a backoff timer in those 20 ms, and the net came first. Ruled out: a lost outcome (out=0), a lost timer (fire() pops all that are due). The module is now told the cut as the deadline. A test with a silent backend showed the time-out 19 ms early before, and none after.

--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// cutMargin before a request's deadline its attempts end, and netMargin before it the safety net
-	// answers, so that the last byte is written in time.
+	// cutMargin before a request's deadline its attempts end and its time is up for the module too;
+	// netMargin before it the safety net answers. So the last byte is written in time.
 	cutMargin = 20 * time.Millisecond
 	netMargin = 5 * time.Millisecond
 	// drainFor after a stop was asked for, all that is still open is answered: the process may be
@@ -57,7 +57,8 @@
 	class    int
 	arrived  time.Duration
 	deadline time.Duration
-	answer   chan answer // holds one
+	cut      time.Duration // as told to the module: attempts end then
+	answer   chan answer   // holds one
 	ended    bool
 	attempts []context.CancelFunc // by number; nil once its outcome is in
 	out      int
@@ -270,7 +271,10 @@
 			r := l.open[q.ID]
 			// A step comes within a tick of an arrival. When the machine is late with it, the module must
 			// not take the delay for a client with less patience, which it reads as one that tries again.
-			q.Left = r.deadline - r.arrived - min(now-r.arrived, l.s.Tick)
+			q.Left = r.deadline - cutMargin - r.arrived - min(now-r.arrived, l.s.Tick)
+			// An attempt that times out with the request must not do so before the module's deadline for
+			// that: the module would wait for another try that can't come, until the safety net answers.
+			r.cut = min(now+q.Left, r.deadline-2*netMargin)
 			events[i] = q
 		}
 	}
@@ -357,7 +361,7 @@
 	r.attempts = append(r.attempts, cancel)
 	r.out++
 	event := saltmast.Outcome{Request: a.Request, Attempt: no, Backend: a.Backend, Result: saltmast.NotSent}
-	cut := r.deadline - cutMargin
+	cut := r.cut
 	if l.until > 0 {
 		cut = min(cut, l.until-cutMargin)
 	}
