Tell refused clients when to come back, where they are shown it

Cause: finish() in saltmast.go left Refuse.RetryAfter empty, so the agent had no Retry-After to pass on. The module now draws it with full jitter, at the ceiling of its own backoff and within MaxRetryAfter.

--- a/saltmast.go
+++ b/saltmast.go
@@ -901,13 +901,24 @@
 		return
 	}
 	if r.risky == 0 {
-		b.actions = append(b.actions, Refuse{Request: r.id})
+		b.actions = append(b.actions, Refuse{Request: r.id, RetryAfter: b.comeBack(r)})
 	} else {
 		b.actions = append(b.actions, Fail{Request: r.id})
 	}
 	b.close(r)
 }
 
+// comeBack is when a refused client should try again, where clients are told: after a fully jittered
+// wait like those of our own retries, at their ceiling since what refuses is a crowd and not one backend.
+// Guards against clients that were refused together and come back together.
+func (b *Balancer) comeBack(r *request) time.Duration {
+	if !b.s.RetryAfter {
+		return 0
+	}
+	unit := backoffCeiling * backoffUnit * float64(b.classes[r.class].Aim)
+	return time.Duration(b.rng.Float64() * min(unit, float64(b.s.MaxRetryAfter)))
+}
+
 // close forgets a request once it has ended and its attempts are in.
 func (b *Balancer) close(r *request) {
 	r.ended = true
--- a/saltmast_test.go
+++ b/saltmast_test.go
@@ -1676,3 +1676,36 @@
 		t.Errorf("%d of 100 agents sent to the newcomer within 20 ms", sent)
 	}
 }
+
+// Refused clients are told to come back at spread times, within what they heed, and only where they
+// are shown it: those refused together must not return together.
+func TestRefusalsSpreadTheReturn(t *testing.T) {
+	advice := func(shown bool, most time.Duration) (waits []time.Duration) {
+		s := settings()
+		s.RetryAfter, s.MaxRetryAfter = shown, most
+		r := newRig(t, s, 3, backends(4))
+		for i := range 50 {
+			id := fmt.Sprint(i)
+			r.request(id, safe)
+			for _, a := range r.outcome(id, saltmast.NotSent, 0) {
+				if a, ok := a.(saltmast.Refuse); ok {
+					waits = append(waits, a.RetryAfter)
+				}
+			}
+			r.now += 5 * ms
+		}
+		if len(waits) != 50 {
+			t.Fatalf("%d refusals, want 50", len(waits))
+		}
+		return waits
+	}
+	for _, most := range []time.Duration{60 * ms, time.Minute} {
+		waits, end := advice(true, most), min(most, 100*ms) // 100 ms: the longest backoff of our own
+		if low, high := slices.Min(waits), slices.Max(waits); low < 0 || low > end/4 || high > end || high < end*3/4 {
+			t.Errorf("waits from %v to %v, want them spread from 0 to %v", low, high, end)
+		}
+	}
+	if waits := advice(false, time.Minute); slices.Max(waits) != 0 {
+		t.Errorf("advice of %v to clients that are not shown it", slices.Max(waits))
+	}
+}
