Keep good connections in use when another one fails

Cause: pool.closeIdle also condemned the connections in use, so one refused dial, as at a backend that takes no more, would have made all others close after their next answer; each new one costs a backend 18 to 29 ms of work. Found by reading, shown by a loopback test (0 of 1 connection left before, 1 after). Only a list change retires those in use now.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -299,44 +299,57 @@
 	}
 }
 
-// Guards against losing what comes while the agent stops: what is under way ends, new connections
-// are served for a while, and their clients told to go.
-func TestStop(t *testing.T) {
-	t.Parallel()
-	gate := make(chan struct{})
-	p := newPeer(t, func(c net.Conn, r *http.Request, body []byte) bool {
-		if r.URL.Path == "/look/slow" {
-			<-gate
-		}
-		return echo(c, r, body)
-	})
+// stopping is an agent that has been asked to stop while a request is under way.
+type stopping struct {
+	*Agent
+	first chan int   // status of the answer to that request
+	ended chan error // of Run
+}
+
+func stopWhile(t *testing.T, p *peer, method, path, budget string) stopping {
+	t.Helper()
 	logged := &capture{}
 	a, err := New(config(t, newLists(t).addr, entry("s0", p.addr(), "SERVING")), logTo(logged))
 	if err != nil {
 		t.Fatal(err)
 	}
+	s := stopping{Agent: a, first: make(chan int, 1), ended: make(chan error, 1)}
 	stop, cancel := context.WithCancel(context.Background())
-	ended, first := make(chan error, 1), make(chan int, 1)
-	go func() { ended <- a.Run(stop) }()
+	go func() { s.ended <- a.Run(stop) }()
 	go func() {
-		resp, _ := ask(t, a, "GET", "/look/slow", "", "X-Call-Id", id, "X-Budget-Ms", "9000")
-		first <- resp.StatusCode
+		resp, _ := ask(t, a, method, path, "", "X-Call-Id", id, "X-Budget-Ms", budget)
+		s.first <- resp.StatusCode
 	}()
 	receive(t, p.got)
 	cancel()
 	until(t, "the drain", func() bool { return logged.has("draining") })
-	resp, _ := ask(t, a, "GET", "/look", "", "X-Call-Id", id[:15]+"2", "X-Budget-Ms", "9000")
+	return s
+}
+
+// Guards against losing what comes while the agent stops: what is under way ends, new connections
+// are served for a while, and their clients told to go.
+func TestStop(t *testing.T) {
+	t.Parallel()
+	gate := make(chan struct{})
+	p := newPeer(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		if r.URL.Path == "/look/slow" {
+			<-gate
+		}
+		return echo(c, r, body)
+	})
+	s := stopWhile(t, p, "GET", "/look/slow", "9000")
+	resp, _ := ask(t, s.Agent, "GET", "/look", "", "X-Call-Id", id[:15]+"2", "X-Budget-Ms", "9000")
 	if resp.StatusCode != 200 || !resp.Close {
 		t.Errorf("while stopping: status %d, close %v", resp.StatusCode, resp.Close)
 	}
 	close(gate)
-	if status := receive(t, first); status != 200 {
+	if status := receive(t, s.first); status != 200 {
 		t.Errorf("what was under way got %d", status)
 	}
-	if err := receive(t, ended); err != nil {
+	if err := receive(t, s.ended); err != nil {
 		t.Error(err)
 	}
-	if c, err := net.Dial("tcp", a.Addr().String()); err == nil {
+	if c, err := net.Dial("tcp", s.Addr().String()); err == nil {
 		c.Close()
 		t.Error("still listening")
 	}
@@ -345,24 +358,11 @@
 // Guards against a kill that finds requests open: a stop ends them in time, by a failure.
 func TestStopEndsWhatWouldOutlastIt(t *testing.T) {
 	t.Parallel()
-	p := newPeer(t, hang)
-	a, err := New(config(t, newLists(t).addr, entry("s0", p.addr(), "SERVING")), logTo(&capture{}))
-	if err != nil {
-		t.Fatal(err)
-	}
-	stop, cancel := context.WithCancel(context.Background())
-	ended, first := make(chan error, 1), make(chan int, 1)
-	go func() { ended <- a.Run(stop) }()
-	go func() {
-		resp, _ := ask(t, a, "POST", "/settle", "", "X-Call-Id", id, "X-Budget-Ms", "600000")
-		first <- resp.StatusCode
-	}()
-	receive(t, p.got)
-	cancel()
-	if status := receive(t, first); status != 502 {
+	s := stopWhile(t, newPeer(t, hang), "POST", "/settle", "600000")
+	if status := receive(t, s.first); status != 502 {
 		t.Errorf("status %d, want 502", status)
 	}
-	if err := receive(t, ended); err != nil {
+	if err := receive(t, s.ended); err != nil {
 		t.Error(err)
 	}
 }
--- a/internal/agent/backend_test.go
+++ b/internal/agent/backend_test.go
@@ -265,6 +265,33 @@
 	}
 }
 
+// Guards against closing good connections over one that failed, as when a backend takes no more of
+// them; and against keeping those to a process that was started again.
+func TestConnectionsInUse(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		event  func(b *backends)
+		remain int
+	}{
+		{"another one failed", func(b *backends) { b.pool.closeIdle("s0") }, 1},
+		{"retired", func(b *backends) { b.pool.retire("s0") }, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			gate := make(chan struct{})
+			p := newPeer(t, func(c net.Conn, r *http.Request, body []byte) bool { <-gate; return echo(c, r, body) })
+			b := newBackends(t, p.addr())
+			done := make(chan saltmast.Result, 1)
+			go func() { res, _ := b.try(settle(), long); done <- res }()
+			receive(t, p.got)
+			tt.event(b)
+			close(gate)
+			if res := receive(t, done); res != saltmast.OK || b.pool.count() != tt.remain {
+				t.Errorf("result %d, %d connections open, want %d", res, b.pool.count(), tt.remain)
+			}
+		})
+	}
+}
+
 // Guards against giving up an attempt without closing its connection, on which it would still count.
 func TestCancelClosesTheConnection(t *testing.T) {
 	p := newPeer(t, func(c net.Conn, _ *http.Request, _ []byte) bool { return true }) // reads on
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -136,7 +136,7 @@
 	base    string // URL of the list
 	client  *http.Client
 	table   *members
-	stale   func(backend string) // closes idle connections
+	stale   func(backend string) // retires its connections
 	post    func(any)
 	silence time.Duration // see watchSilence
 	event   func(Listing, saltmast.ListKind) saltmast.List
@@ -245,11 +245,13 @@
 	defer cancel()
 	silence := time.AfterFunc(d.silence, cancel)
 	defer silence.Stop()
-	resp, err := d.get(ctx, fmt.Sprintf("%s?follow=1&since=%d", d.base, d.known()))
+	since := d.known()
+	resp, err := d.get(ctx, fmt.Sprintf("%s?follow=1&since=%d", d.base, since))
 	if err != nil {
 		return err
 	}
 	defer resp.Body.Close()
+	d.log.Info("watch begins", "since", since)
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, 4096), maxListing)
 	for lines.Scan() {
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -100,7 +100,7 @@
 	l.back = &backends{pool: pool, table: table, reports: c.Settings.Reports,
 		probing: 2 * c.Settings.ConnectTimeout, log: log}
 	l.disc = &discovery{base: "http://" + c.Discovery + "/v1/servers", client: newListClient(), table: table,
-		stale: pool.closeIdle, post: l.post, silence: watchSilence, event: lister(c, clock), log: log}
+		stale: pool.retire, post: l.post, silence: watchSilence, event: lister(c, clock), log: log}
 	known := c.Known
 	known.Full = true
 	l.disc.version = known.Version
--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -233,11 +233,19 @@
 	}
 }
 
-// closeIdle closes the idle connections to a backend; those in use close when they are done.
+// retire ends the use of all connections to a backend that drains, is gone or was started again:
+// those in use close when they are done.
+func (p *pool) retire(backend string) {
+	p.mu.Lock()
+	p.epoch[backend]++
+	p.mu.Unlock()
+	p.closeIdle(backend)
+}
+
+// closeIdle closes the idle connections to a backend. One in use that still brings an answer is good.
 func (p *pool) closeIdle(backend string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.epoch[backend]++
 	for _, c := range p.idle[backend] {
 		c.closed = true
 		p.open--
