--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -366,3 +366,26 @@
 		t.Error(err)
 	}
 }
+
+// Guards against running out of descriptors under a crowd of clients: one too many is refused at once,
+// which does no harm since nothing was sent for it.
+func TestClientLimit(t *testing.T) {
+	t.Parallel()
+	p := newPeer(t, hang)
+	c := config(t, newLists(t).addr, entry("s0", p.addr(), "SERVING"))
+	c.Sockets = 3
+	a, _ := start(t, c, nil)
+	first := make(chan int, 1)
+	go func() {
+		resp, _ := ask(t, a, "POST", "/settle", "", "X-Call-Id", id, "X-Budget-Ms", "2000")
+		first <- resp.StatusCode
+	}()
+	receive(t, p.got)
+	resp, _ := ask(t, a, "POST", "/settle", "", "X-Call-Id", id[:15]+"2", "X-Budget-Ms", "2000")
+	if resp.StatusCode != 503 || !resp.Close {
+		t.Errorf("status %d, close %v", resp.StatusCode, resp.Close)
+	}
+	if status := receive(t, first); status != 502 || len(p.got) != 0 {
+		t.Errorf("the first one got %d, the backend %d requests too many", status, len(p.got))
+	}
+}
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -28,6 +28,11 @@
 	Known     Listing // the backends as last known; may be old
 }
 
+// clientConns and backendConns share out the descriptors: half to clients, of whom more wait than are
+// out at backends when all is crowded; three eighths to backends. The rest is room.
+func (c *Config) clientConns() int  { return c.Sockets / 2 }
+func (c *Config) backendConns() int { return c.Sockets * 3 / 8 }
+
 // LoadConfig reads the configuration file. Empty name and addresses are taken from the environment.
 func LoadConfig(path string) (*Config, error) {
 	raw, err := os.ReadFile(path)
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -33,7 +33,7 @@
 
 func newFront(c *Config, loop *Loop) *front {
 	f := &front{loop: loop, classes: map[string]int{}, tenants: c.Names.Tenants, settings: c.Settings,
-		limit: int64(c.Sockets / 3)}
+		limit: int64(c.clientConns())}
 	for i, name := range c.Names.Classes {
 		f.classes[name] = i
 	}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -92,8 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	// A third of the descriptors for backends, a third for clients: the rest is room.
-	pool := newPool(c.Settings.IdleClose*3/4, c.Settings.ConnectTimeout, c.Sockets/3)
+	pool := newPool(c.Settings.IdleClose*3/4, c.Settings.ConnectTimeout, c.backendConns())
 	table := &members{m: map[string]Server{}}
 	l := &Loop{clock: clock, s: c.Settings, bal: bal, log: log, in: make(chan any, 1024), done: make(chan struct{}),
 		ready: make(chan struct{}), open: map[string]*request{}, last: clock.Now() - c.Settings.Tick}
