Keep a backend in use while older requests are open there

At fault: observe counted failures in a row without asking whether anything there lives (fails >= inARow, 2 with one failed connect). And exchange and connect closed all idle connections after any break: a quarter of the attempts needed a new one, each with its handshake.

Mend: what breaks while attempts older than the first failure are open at the backend is no sign of death (six in a row are); idle connections are closed after a time-out, a dial without answer, or a break at the first request after a rest of over 100 ms, then those that have rested as long.

Both tests fail without the change (the one on breaks waits 20 s for a request that is held).

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -81,10 +81,15 @@
 	case ctx.Err() != nil:
 		return nil, saltmast.Cancelled, err
 	}
-	b.pool.closeIdle(backend) // those that it has are no better
+	if isTimeout(err) {
+		b.pool.closeIdle(backend) // the machine says nothing: those that it has are no better
+	}
 	return nil, saltmast.ConnectFailed, err
 }
 
+// staleAfter is the rest of a connection after which a break at the next request is put down to the rest.
+const staleAfter = 100 * time.Millisecond
+
 // exchange sends a request on c and reads the outcome off what comes back, by the protocol's table.
 func (b *backends) exchange(ctx context.Context, c *conn, req *http.Request, body []byte,
 	cut time.Time) (saltmast.Result, reply) {
@@ -96,6 +101,10 @@
 		b.pool.release(c)
 		return saltmast.NotSent, reply{at: time.Now(), err: err}
 	}
+	var idle time.Duration
+	if !c.since.IsZero() {
+		idle = time.Since(c.since)
+	}
 	r, written, again := send(ctx, c.Conn, raw.Bytes(), cut, b.stall)
 	if again {
 		b.pool.release(c)
@@ -103,11 +112,16 @@
 		b.pool.close(c)
 	}
 	res := result(r, written, ctx.Err() != nil)
-	switch res {
-	case saltmast.ConnectFailed, saltmast.Reset, saltmast.TimedOut:
-		// The module now holds the backend for not connected. Idle connections to a machine that
-		// vanished would swallow requests that may not be sent again; a new one fails fast, with proof.
+	switch {
+	case res == saltmast.TimedOut:
+		// Idle connections to a machine that vanished would swallow requests that may not be sent
+		// again; a new one fails fast, with proof.
 		b.pool.closeIdle(c.group.backend)
+	case (res == saltmast.Reset || res == saltmast.ConnectFailed) && idle > staleAfter:
+		// It broke at the first request after a rest. Whatever ended it meanwhile, be it a middlebox or a
+		// machine that was away, has ended those that have rested for longer too. One that broke in full
+		// use says nothing of the others: closing them costs a handshake each, which the backend pays.
+		b.pool.closeIdleSince(c.group.backend, c.since)
 	}
 	if errors.Is(r.err, errMalformed) {
 		b.log.Warn("malformed answer", "backend", c.group.backend)
--- a/internal/agent/backend_test.go
+++ b/internal/agent/backend_test.go
@@ -428,3 +428,50 @@
 		t.Errorf("result %d, want Errored", res)
 	}
 }
+
+// Guards against a handshake for every connection of a backend over one that broke in full use; and against
+// requests lost one by one on connections that have rested as long as one that turned out dead.
+func TestBreakAndIdleConnections(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		rest   time.Duration
+		remain int
+	}{{"in full use", 0, 1}, {"after a rest", time.Minute, 0}} {
+		t.Run(tt.name, func(t *testing.T) {
+			gate, drop := make(chan struct{}), make(chan bool, 1)
+			p := newPeer(t, func(c net.Conn, r *http.Request, body []byte) bool {
+				select {
+				case <-drop:
+					return false
+				default:
+					<-gate
+					return echo(c, r, body)
+				}
+			})
+			b := newBackends(t, p.addr())
+			done := make(chan saltmast.Result, 2)
+			for range 2 { // two at a time need two connections
+				go func() { res, _ := b.try(settle(), long); done <- res }()
+			}
+			receive(t, p.got)
+			receive(t, p.got)
+			close(gate)
+			if receive(t, done) != saltmast.OK || receive(t, done) != saltmast.OK {
+				t.Fatal("not served")
+			}
+			b.pool.mu.Lock()
+			for i, c := range b.pool.groups["s0"].idle { // the older one first
+				c.since = time.Now().Add(-tt.rest - time.Duration(1-i)*time.Microsecond)
+			}
+			b.pool.mu.Unlock()
+			b.pool.maxIdle = time.Hour
+			drop <- true
+			if res, _ := b.try(settle(), long); res != saltmast.Reset {
+				t.Fatalf("result %d, want Reset", res)
+			}
+			if n := b.pool.count(); n != tt.remain {
+				t.Errorf("%d connections are left, want %d", n, tt.remain)
+			}
+		})
+	}
+}
--- a/internal/agent/pool.go
+++ b/internal/agent/pool.go
@@ -181,10 +181,10 @@
 // retire ends the use of all connections to a backend that drains, is gone or was started again:
 // those in use close when they are done.
 func (p *pool) retire(backend string) {
-	p.closeIdle(backend)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if g := p.groups[backend]; g != nil {
+		p.dropIdle(g, time.Now())
 		g.retired = true
 		delete(p.groups, backend)
 	}
@@ -194,13 +194,21 @@
 func (p *pool) closeIdle(backend string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	g := p.groups[backend]
-	if g == nil {
-		return
-	}
-	idle := g.idle
-	g.idle = nil
-	for _, c := range idle {
+	p.dropIdle(p.groups[backend], time.Now())
+}
+
+// closeIdleSince closes those that have been idle since then or longer.
+func (p *pool) closeIdleSince(backend string, then time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dropIdle(p.groups[backend], then)
+}
+
+// dropIdle closes what has been idle since then or longer. The caller holds p.mu.
+func (p *pool) dropIdle(g *group, then time.Time) {
+	for g != nil && len(g.idle) > 0 && !g.idle[0].since.After(then) {
+		c := g.idle[0]
+		g.idle = g.idle[1:]
 		p.drop(c)
 	}
 }
--- /dev/null
+++ b/internal/agent/trouble_test.go
@@ -0,0 +1,79 @@
+package agent
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// held is a backend that keeps each request open until it is told what to do with it.
+type held struct {
+	*peer
+	end chan bool // for one request: whether it is answered; else its connection breaks
+}
+
+func newHeld(t *testing.T) *held {
+	h := &held{end: make(chan bool)}
+	h.peer = newPeer(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		return <-h.end && echo(c, r, body)
+	})
+	return h
+}
+
+// Guards against connections that break one by one and pass for a process that died: while older requests
+// are open at a backend it stays in use.
+func TestBreaksUnderOpenRequests(t *testing.T) {
+	t.Parallel()
+	s := []*held{newHeld(t), newHeld(t)}
+	a, _ := start(t, config(t, newLists(t).addr, entry("s0", s[0].addr(), "SERVING"),
+		entry("s1", s[1].addr(), "SERVING")), nil)
+	n := 0
+	done := make(chan int, 100)
+	open := [2]int{}
+	send := func() int { // one more request; tells which of the two has got it
+		n++
+		no := fmt.Sprintf("%016x", n)
+		go func() {
+			resp, _ := ask(t, a, "POST", "/settle", "", "X-Call-Id", no, "X-Budget-Ms", "7900")
+			done <- resp.StatusCode
+		}()
+		select {
+		case <-s[0].got:
+			open[0]++
+			return 0
+		case <-s[1].got:
+			open[1]++
+			return 1
+		case <-time.After(long):
+			t.Fatal("a request reached no backend")
+		}
+		return -1
+	}
+	end := func(i int, answer bool, want int) {
+		s[i].end <- answer
+		open[i]--
+		if status := receive(t, done); status != want {
+			t.Fatalf("status %d, want %d", status, want)
+		}
+	}
+	defer close(s[0].end) // breaks what is open
+	defer close(s[1].end)
+	for range 7 {
+		send()
+	}
+	bad := 0 // the one that has got at least four of them
+	if open[1] > open[0] {
+		bad = 1
+	}
+	end(bad, true, http.StatusOK)
+	end(bad, false, http.StatusBadGateway)
+	end(bad, false, http.StatusBadGateway)
+	for range 3 {
+		if send() == bad { // which has the least open
+			return
+		}
+	}
+	t.Error("nothing goes to a backend with a request open, after two broken connections")
+}
--- a/saltmast.go
+++ b/saltmast.go
@@ -639,7 +639,14 @@
 			t.failedAt = b.now
 		}
 		t.fails++
-		if t.fails >= b.inARow(e.Result) && (e.Result == ConnectFailed || b.maySpare()) {
+		n := b.inARow(e.Result)
+		if b.survived(t, e) {
+			n = mostInARow
+			if e.Result == ConnectFailed { // it takes no new connection now, which is what Full says
+				t.fullTill = b.now + time.Duration(b.rng.Float64()*c.latency)
+			}
+		}
+		if t.fails >= n && (e.Result == ConnectFailed || b.maySpare()) {
 			t.down = t.down || e.Result != Errored
 			b.strike(t, a, c)
 		}
@@ -649,6 +656,19 @@
 	}
 }
 
+// survived reports whether t lives although a connection to it broke or failed: a process that dies takes
+// all its connections along, and attempts sent before the first failure are still open. Guards against any
+// trouble of single connections (resets on the way, stale ones, a full table) that passes for a dead backend:
+// on the day of the report some backend was always left out for two of them in a row, with a dozen attempts
+// open there that were then answered. A machine that vanishes leaves its connections open, so a dial without
+// any answer is no sign of life. Harm: one that dies with the resets lost on the way is found out later.
+func (b *Balancer) survived(t *backend, e Outcome) bool {
+	if e.Result == Errored || e.Result == ConnectFailed && e.Latency > b.s.ConnectTimeout/2 {
+		return false
+	}
+	return len(t.out) > 0 && t.out[0].sent < t.failedAt
+}
+
 // maySpare reports whether one more backend may be left out for errors. Seen on the long day: where half of
 // them erred now and then, leaving them all out cost several times what their errors did.
 func (b *Balancer) maySpare() bool {
