Keep an eighth of the places free: give up the least worth first

At fault: releaseHeld knew no bound but the aims, and the loop's MaxOpen (60000) never binds. Mend: the agent derives the bound from the descriptors; while over seven eighths of it are taken, keepSpare gives up what is held and worth least, of that the oldest, at once. The test fails without the change.

--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -33,6 +33,17 @@
 func (c *Config) clientConns() int  { return c.Sockets / 2 }
 func (c *Config) backendConns() int { return c.Sockets * 3 / 8 }
 
+// openRequests is how many requests may be open, for the module to keep some of that free: what the settings
+// allow, and no more than clients can hold, to whom a third of the descriptors goes for requests, each on a
+// connection of its own. Beyond that requests wait unseen or are turned away.
+func (c *Config) openRequests() int {
+	n := c.Settings.MaxOpen
+	if third := c.Sockets / 3; third > 0 && (n == 0 || third < n) {
+		n = third
+	}
+	return n
+}
+
 // LoadConfig reads the configuration file. Empty name and addresses are taken from the environment.
 func LoadConfig(path string) (*Config, error) {
 	raw, err := os.ReadFile(path)
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -90,7 +90,9 @@
 )
 
 func newLoop(c *Config, clock Clock, log *slog.Logger) (*Loop, error) {
-	bal, err := saltmast.New(c.Settings, c.Seed)
+	settings := c.Settings
+	settings.MaxOpen = c.openRequests()
+	bal, err := saltmast.New(settings, c.Seed)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/agent/trouble_test.go
+++ b/internal/agent/trouble_test.go
@@ -77,3 +77,41 @@
 	}
 	t.Error("nothing goes to a backend with a request open, after two broken connections")
 }
+
+// Guards against requests that wait for room until clients have no connection left, when the next one is
+// turned away unseen: before that the one that is worth least is refused, at once.
+func TestPlacesAreKeptFree(t *testing.T) {
+	t.Parallel()
+	h := newHeld(t)
+	c := config(t, newLists(t).addr, entry("s0", h.addr(), "SERVING"))
+	c.Sockets = 30 // ten open requests, of which one is kept free
+	for i := range c.Settings.Classes {
+		class := &c.Settings.Classes[i]
+		class.Aim, class.Deadline = 10*long, 10*long
+	}
+	c.Settings.Classes[2].Worth, c.Settings.GoalWhole = 10, 1 // settle
+	a, _ := start(t, c, nil)
+	defer close(h.end)
+	n := 0
+	refused := make(chan string, 20)
+	send := func(method, path string) {
+		n++
+		no := fmt.Sprintf("%016x", n)
+		go func() {
+			if resp, _ := ask(t, a, method, path, "", "X-Call-Id", no, "X-Budget-Ms", "190000"); resp.StatusCode == 503 {
+				refused <- path
+			}
+		}()
+	}
+	for range 4 { // what one backend gets at once
+		send("POST", "/settle")
+		receive(t, h.got)
+	}
+	send("GET", "/look")
+	for range 4 {
+		send("POST", "/settle")
+	}
+	if path := receive(t, refused); path != "/look" {
+		t.Errorf("%s was refused, and not the request that is worth least", path)
+	}
+}
--- a/saltmast.go
+++ b/saltmast.go
@@ -60,10 +60,11 @@
 	limitGrow    = 0.7  // and its growth, in attempts per backend for each round of answers
 	floorPerBack = 4.0  // where it starts, for all agents together per backend, and the least it
 	// falls to: less would leave cores idle, and a start with more would crowd servers at once
-	backCap     = 3.0  // no backend holds more than so many mean shares of the limit
-	holdMargin  = 2.0  // a held request leaves when fewer than so many mean latencies remain to its aim
-	holdAtMost  = 0.75 // of the aim; a request may always be held for the rest of it
-	repeatValue = 0.1  // value of a client's repeat against a first try: most of its aim has passed
+	backCap     = 3.0   // no backend holds more than so many mean shares of the limit
+	holdMargin  = 2.0   // a held request leaves when fewer than so many mean latencies remain to its aim
+	sparePlaces = 0.125 // of the requests that may be open, kept free for those to come
+	holdAtMost  = 0.75  // of the aim; a request may always be held for the rest of it
+	repeatValue = 0.1   // value of a client's repeat against a first try: most of its aim has passed
 )
 
 // New returns a balancer with no state. All its random choices come from seed.
@@ -146,6 +147,7 @@
 	}
 	c.arrived++
 	b.requests[e.ID] = r
+	b.taken++
 	if e.Key != "" {
 		r.key = hash(e.Key)
 	}
@@ -276,14 +278,7 @@
 			if r.passed || !b.inTurn(r) {
 				continue
 			}
-			v := b.classes[r.class].value
-			if r.repeat {
-				v *= repeatValue
-			}
-			if r.aim-b.now < time.Duration(b.expected(r)/2) {
-				v *= b.classes[r.class].LateWorth
-			}
-			if best < 0 || v >= value {
+			if v := b.heldValue(r); best < 0 || v >= value {
 				best, value = i, v
 			}
 		}
@@ -310,6 +305,36 @@
 			b.timer(r, give)
 		}
 	}
+	b.keepSpare()
+}
+
+// keepSpare gives up what is held and worth least, of that the oldest, while few more requests may be held
+// open. Guards against whatever makes requests wait: they fill the places, the agent's or its clients', and
+// what comes next is turned away unseen, whatever it is worth: on the day of the report 700 of 7,700. Harm: of
+// a burst that would be over at once some are given up that could have been served.
+func (b *Balancer) keepSpare() {
+	for b.s.MaxOpen > 0 && float64(b.taken) > (1-sparePlaces)*float64(b.s.MaxOpen) && len(b.held) > 0 {
+		worst := b.held[0]
+		for _, r := range b.held {
+			if b.heldValue(r) < b.heldValue(worst) {
+				worst = r
+			}
+		}
+		b.unhold(worst)
+		b.giveUp(worst)
+	}
+}
+
+// heldValue is what sending a held request now adds, against others.
+func (b *Balancer) heldValue(r *request) float64 {
+	v := b.classes[r.class].value
+	if r.repeat {
+		v *= repeatValue
+	}
+	if r.aim-b.now < time.Duration(b.expected(r)/2) {
+		v *= b.classes[r.class].LateWorth
+	}
+	return v
 }
 
 // value is what a unit of work spent on a class now adds to the operator's goal.
@@ -991,6 +1016,9 @@
 
 // close forgets a request once it has ended and its attempts are in.
 func (b *Balancer) close(r *request) {
+	if !r.ended {
+		b.taken--
+	}
 	r.ended = true
 	if r.holding {
 		b.unhold(r)
--- a/state.go
+++ b/state.go
@@ -18,6 +18,7 @@
 	backends []*backend // in the order in which they were first listed
 	byID     map[string]*backend
 	requests map[string]*request
+	taken    int              // requests that have no final answer yet
 	held     []*request       // waiting for room, oldest first
 	lines    map[string]*line // of ordered requests, by key
 	resting  []*line          // lines whose key rests or has rested, in the order of its end
