Lost answers count neither as load nor as slowness of their backend

At fault: pick took len(out) for the load and slowness the age of the oldest attempt out, up to 14 times the mean; of eight backends of one speed some had 4 out and others 20, the crowded ones slowed down and the limit was cut. The limit itself was right to leave the overdue out (stuck). The same holds when a backend that hung is back. The test fails without the change.

--- a/internal/agent/trouble_test.go
+++ b/internal/agent/trouble_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -115,3 +116,54 @@
 		t.Errorf("%s was refused, and not the request that is worth least", path)
 	}
 }
+
+// Guards against answers that never come and pass for work that their backend is busy with: once they are
+// overdue, and later ones have come, it is as good as any other.
+func TestLostAnswersAreNoLoad(t *testing.T) {
+	t.Parallel()
+	var n atomic.Int32
+	s0 := newPeer(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		if n.Add(1) <= 2 {
+			return hang(c, r, body)
+		}
+		return echo(c, r, body)
+	})
+	s1 := newPeer(t, echo)
+	d := newLists(t)
+	c := config(t, d.addr, entry("s0", s0.addr(), "SERVING"))
+	for i := range c.Settings.Classes {
+		c.Settings.Classes[i].Aim, c.Settings.Classes[i].Deadline = 200*time.Millisecond, 3*long
+	}
+	a, _ := start(t, c, nil)
+	no := 0
+	settle := func() {
+		no++
+		resp, _ := ask(t, a, "POST", "/settle", "", "X-Call-Id", fmt.Sprintf("%016x", no), "X-Budget-Ms", "60000")
+		if resp.StatusCode != http.StatusOK {
+			t.Fatalf("status %d", resp.StatusCode)
+		}
+	}
+	for i := range 2 { // these two are lost; their clients leave at the end of the test
+		conn := dialRaw(t, a, fmt.Sprintf("POST /settle HTTP/1.1\r\nHost: a\r\nX-Call-Id: %016x\r\nX-Budget-Ms: 60000\r\n"+
+			"Content-Length: 0\r\n\r\n", 1000000+i))
+		defer conn.Close()
+		receive(t, s0.got)
+	}
+	settle()
+	receive(t, s0.got)
+	d.say <- `{"version":2,"full":false,"servers":[` + entry("s1", s1.addr(), "SERVING") + `]}`
+	until(t, "the second backend", func() bool { _, ok := a.loop.back.table.serving("s1"); return ok })
+	used := false // the second backend; from then on the first is not the only one
+	for range 1000 {
+		settle()
+		select {
+		case <-s0.got:
+			if used {
+				return
+			}
+		case <-s1.got:
+			used = true
+		}
+	}
+	t.Error("of 1000 requests, one at a time, none went to a backend that has lost two answers")
+}
--- a/saltmast.go
+++ b/saltmast.go
@@ -310,8 +310,8 @@
 
 // keepSpare gives up what is held and worth least, of that the oldest, while few more requests may be held
 // open. Guards against whatever makes requests wait: they fill the places, the agent's or its clients', and
-// what comes next is turned away unseen, whatever it is worth: on the day of the report 700 of 7,700. Harm: of
-// a burst that would be over at once some are given up that could have been served.
+// what comes next is turned away unseen, whatever it is worth: 700 of 7,700 on the day of the report. Harm:
+// of a burst that would be over at once some are given up that could have been served.
 func (b *Balancer) keepSpare() {
 	for b.s.MaxOpen > 0 && float64(b.taken) > (1-sparePlaces)*float64(b.s.MaxOpen) && len(b.held) > 0 {
 		worst := b.held[0]
@@ -372,7 +372,7 @@
 	mean, seen := 0.0, 0
 	for _, t := range b.backends {
 		if t.State == Up && t.seen {
-			mean += float64(len(t.out))
+			mean += b.load(t)
 			seen++
 		}
 	}
@@ -386,17 +386,17 @@
 	far := math.Inf(1)
 	firstIdle, firstFresh, least, mild, links := far, far, far, far, 0
 	for _, t := range b.backends {
+		load := b.load(t)
 		if t.State != Up || !b.mayRepeat(r, t) || t == r.failed && b.up > 1 || b.now < t.fullTill ||
-			float64(len(t.out)) >= most || !b.coldRoom(t, r) {
+			load >= most || !b.coldRoom(t, r) {
 			continue
 		}
 		if !b.healthy(t, r) {
-			if m := t.strikes + b.rng.Float64() + float64(len(t.out)); m < mild {
+			if m := t.strikes + b.rng.Float64() + load; m < mild {
 				last, mild = t, m
 			}
 			continue
 		}
-		load := float64(len(t.out))
 		if !t.seen {
 			load = mean // a new one gets no rush
 		}
@@ -441,7 +441,7 @@
 		return fresh
 	case idle != nil:
 		return idle
-	case fresh != nil && (few == nil || len(few.out) >= double):
+	case fresh != nil && (few == nil || b.load(few) >= double):
 		return fresh
 	case few != nil:
 		return few
@@ -469,12 +469,32 @@
 	if s == 0 {
 		s = 1
 	}
-	if len(t.out) > 0 {
-		s = max(s, float64(b.now-t.out[0].sent)/t.out[0].cost/2)
+	for _, a := range t.out {
+		if a.sent > t.heard || t.cold {
+			return max(s, float64(b.now-a.sent)/a.cost/2)
+		}
 	}
 	return s
 }
 
+// load is what t has to do for this balancer: its attempts out, less those whose answer seems lost, since
+// it is overdue and what was sent after it has been answered. Guards against answers that never come (lost on
+// the way, or swallowed by a backend that hung and is back): each held its place and its age passed for
+// slowness, so that of eight equal backends some had 4 out and others 20. Harm: a backend that works on a few
+// very heavy requests beside light ones counts as idler than it is. Not for cold ones: all is overdue there.
+func (b *Balancer) load(t *backend) float64 {
+	n := len(t.out)
+	for _, a := range t.out {
+		if a.sent > t.heard || t.cold {
+			break
+		}
+		if b.now-a.sent > a.patience {
+			n--
+		}
+	}
+	return float64(n)
+}
+
 // expected is the mean latency for a request of this class and told work.
 func (b *Balancer) expected(r *request) float64 {
 	c := &b.classes[r.class]
@@ -624,6 +644,9 @@
 		c.knownOK += smooth * (good - c.knownOK)
 		c.freshOK += smooth / 10 * (good - c.freshOK) // forgets, since few fresh ones are tried meanwhile
 	}
+	if e.Result == OK || e.Result == Errored {
+		t.heard = max(t.heard, a.sent)
+	}
 	t.linked, t.usedAt = e.Result == OK || e.Result == Errored, b.now
 	switch e.Result {
 	case OK:
--- a/state.go
+++ b/state.go
@@ -74,6 +74,7 @@
 	fullTill time.Duration
 	shuns    []shun // by class
 	lastOK   time.Duration
+	heard    time.Duration // when the latest of its attempts that were answered was sent
 	down     bool          // connections failed or broke since the last answer
 	fails    int           // failures of any kind since the last answer ...
 	failedAt time.Duration // ... and when the first of them was
