Close crowded client connections with their answer

At fault: clients.room closes an idle connection only after restTime (2 s), as it must, and nothing else ended those of clients that ask once and stay; so an agent took 60 requests a second. Ruled out by count: the module (nothing refused), restarts, backends. Mend: once over half of the bound is open, an answer carries Connection: close. No rest is needed for that. The test fails without the change (a request waits in vain).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -45,6 +45,7 @@
 	}
 	conns := newClients(listener, c.clientConns())
 	a := &Agent{loop: loop, front: newFront(c, loop), listener: conns, log: log, acceptFor: acceptFor}
+	a.front.crowded = conns.crowded
 	a.server = &http.Server{Handler: a.front, ReadHeaderTimeout: headTime, IdleTimeout: idleTime, ConnState: conns.note,
 		MaxHeaderBytes: 8 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
 	return a, nil
--- a/internal/agent/clients.go
+++ b/internal/agent/clients.go
@@ -47,6 +47,16 @@
 		left: make(chan struct{}, 1), ended: make(chan struct{})}
 }
 
+// crowded reports whether connections begin to run short. Then each closes with its answer: clients that ask
+// once and stay took all that there were, for the two seconds that a connection must have been idle before it
+// may be closed, and the agents stood idle meanwhile. Guards against any client that keeps what it does not use.
+// Harm: clients that would have asked again connect anew for each request.
+func (l *clients) crowded() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.limit > 0 && l.open > l.limit/2
+}
+
 // Accept takes the next connection once there is room for it. Those that come meanwhile wait in the
 // system's queue, where they cost nothing.
 func (l *clients) Accept() (net.Conn, error) {
--- a/internal/agent/clients_test.go
+++ b/internal/agent/clients_test.go
@@ -154,3 +154,22 @@
 		}
 	}
 }
+
+// Guards against clients that ask once and keep their connection, for as long as it may not be closed: they
+// took all, and the next request waited unseen before an idle agent.
+func TestCrowdedConnectionsCloseWithTheAnswer(t *testing.T) {
+	t.Parallel()
+	p := newPeer(t, echo)
+	c := config(t, newLists(t).addr, entry("s0", p.addr(), "SERVING"))
+	c.Sockets = 8 // 4 for clients
+	a, _ := startWith(t, c, func(a *Agent) {
+		a.listener.(*clients).rest = time.Hour
+		a.server.IdleTimeout = time.Hour
+	})
+	for i := range 6 {
+		conn := dialRaw(t, a, post(fmt.Sprintf("%016x", i), ""))
+		if got := status(t, conn); got != 200 {
+			t.Fatalf("request %d: status %d", i, got)
+		}
+	}
+}
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -28,6 +28,7 @@
 	tenants  []string
 	settings saltmast.Settings
 	draining atomic.Bool
+	crowded  func() bool // whether clients' connections run short
 }
 
 func newFront(c *Config, loop *Loop) *front {
@@ -76,6 +77,9 @@
 	f.loop.post(arrival{r: req, event: event})
 	select {
 	case a := <-req.answer:
+		if f.crowded() {
+			w.Header().Set("Connection", "close")
+		}
 		write(w, a)
 	case <-r.Context().Done():
 		f.loop.post(departure{r: req})
