Pushed lists are followed: a watch that is always there, begun again when it ends

Checked: the module emits Subscribe only where MembershipMode is subscribe, as it should; Client.Move begins a watch only if one was under way; so agent.Run and discovery.Client left a pushed list unwatched, and the agent sent to addresses that new servers had taken over. Change: Client.Keep, begun by the agent where lists are pushed: a watch of the present address, begun again with a jittered wait from 20 ms to 1 s whenever none is left, also when a move found none.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -40,6 +40,7 @@
 
 	journal *settleslog.Writer // nil: off
 	ups     []*upstream.Backends
+	follow  func(context.Context) // keeps a list that is pushed; nil: the module asks for it
 
 	acceptFor time.Duration // see the constant
 }
@@ -111,7 +112,9 @@
 	a.loops = append(a.loops, a.loop)
 	options := discovery.Options{Addr: c.Discovery, Known: known, Table: table, Stale: up.Retire, Post: a.loop.Post, Event: event, Log: log}
 	if t == nil {
-		a.loop.Connect(up, discovery.New(options))
+		list := discovery.New(options)
+		a.keep(c.Settings, list)
+		a.loop.Connect(up, list)
 	} else if err := a.addThrift(c, t, options, first, clock, up, decide, record, ofHTTP, ofThrift); err != nil {
 		return nil, err
 	}
@@ -154,7 +157,9 @@
 	shared := discovery.NewShared(first)
 	o.Post = shared.Post
 	o.Stale = func(backend string) { up.Retire(backend); upThrift.Retire(backend) }
-	shared.Drive(discovery.New(o))
+	list := discovery.New(o)
+	a.keep(s, list)
+	shared.Drive(list)
 	a.loop.Connect(up, shared.Follow(ofHTTP, a.loop.Post))
 	loop.Connect(upThrift, shared.Follow(ofThrift, loop.Post))
 	methods := map[string]*thriftfront.Method{}
@@ -182,6 +187,14 @@
 	return nil
 }
 
+// keep has a pushed list followed while the agent runs. There the module asks for nothing; seen at a site of this kind:
+// without a watch an agent stays with the list of its configuration, and sends to whoever has an address by now.
+func (a *Agent) keep(s saltmast.Settings, list *discovery.Client) {
+	if !s.Subscribe {
+		a.follow = list.Keep
+	}
+}
+
 // ThriftAddr is where it listens for Thrift callers; nil: it does not.
 func (a *Agent) ThriftAddr() net.Addr {
 	if a.thrift == nil {
@@ -210,6 +223,9 @@
 	for _, l := range a.loops {
 		go l.Run(ctx)
 	}
+	if a.follow != nil {
+		a.follow(ctx)
+	}
 	a.recall(ctx)
 	failed := make(chan error, len(a.fronts))
 	for _, f := range a.fronts {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -138,7 +139,7 @@
 	return false
 }
 
-// Client asks for the list and watches it, when told to. Its events reach the core by post.
+// Client asks for the list and watches it, when told to or, once told to keep it, always. Its events reach the core by post.
 type Client struct {
 	client  *http.Client
 	table   *Members
@@ -155,8 +156,18 @@
 	version int64      // of the list that was last taken from addr; unknown: the whole list is wanted
 	current *watch     // the one that lists are taken from
 	next    *watch     // the one that is to replace it, until it has begun to bring lists
+	kept    bool       // lists are pushed: there is always a watch, or one is soon begun
+	fails   int        // of the watches lately begun, in a row
 }
 
+// A kept watch that ended is begun again after a wait that doubles from the first to the last of these, with up to half
+// of it taken off at random. A pushed list answers at once and at no cost, so the first wait only keeps an address that
+// closes each watch from being asked without pause.
+const (
+	firstWait = 20 * time.Millisecond
+	lastWait  = time.Second
+)
+
 // Options say what a client follows.
 type Options struct {
 	Addr  string  // host:port
@@ -228,15 +239,15 @@
 		if d.current != nil {
 			d.current.stop()
 		}
-		d.current, d.next = w, nil
+		d.current, d.next, d.fails = w, nil, 0
 	}
 	return w == d.current
 }
 
 // Subscribe starts a watch. The one before it goes on until the new one brings its list: a new address
 // may be slow to answer, or never do.
-func (d *Client) Subscribe(ctx context.Context) {
-	ctx, stop := context.WithCancel(ctx)
+func (d *Client) Subscribe(parent context.Context) {
+	ctx, stop := context.WithCancel(parent)
 	d.mu.Lock()
 	if d.next != nil {
 		d.next.stop()
@@ -251,9 +262,47 @@
 			d.log.Warn("watch ended", "discovery", w.addr, "err", err)
 			d.post(saltmast.List{Kind: saltmast.ListFailed})
 		}
+		d.again(parent)
 	}()
 }
 
+// Keep follows the list for as long as ctx lives: whenever no watch of the present address is left, another begins. It
+// is for installations where lists are pushed: there the module asks for nothing, and hears of no failure.
+func (d *Client) Keep(ctx context.Context) {
+	d.mu.Lock()
+	d.kept = true
+	d.mu.Unlock()
+	d.Subscribe(ctx)
+}
+
+// again begins the next watch of a kept list, after a wait, if none of the present address is left by then.
+func (d *Client) again(ctx context.Context) {
+	d.mu.Lock()
+	if !d.missing() {
+		d.mu.Unlock()
+		return
+	}
+	wait := min(firstWait<<min(d.fails, 10), lastWait)
+	d.fails++
+	d.mu.Unlock()
+	select {
+	case <-time.After(wait/2 + rand.N(wait/2)):
+	case <-ctx.Done():
+		return
+	}
+	d.mu.Lock()
+	missing := d.missing()
+	d.mu.Unlock()
+	if missing {
+		d.Subscribe(ctx)
+	}
+}
+
+// missing reports whether a kept list has no watch of the present address. The caller holds d.mu.
+func (d *Client) missing() bool {
+	return d.kept && d.next == nil && (d.current == nil || d.current.addr != d.addr)
+}
+
 // ended forgets a watch that ended by itself and reports whether the module is to hear of it: while
 // another one is to replace it, nothing is lost.
 func (d *Client) ended(w *watch) bool {
@@ -278,10 +327,10 @@
 			w.stop()
 		}
 	}
-	d.current, d.next = nil, nil
+	d.current, d.next, d.kept = nil, nil, false
 }
 
-// Move turns to another address and watches it at once, if the old one was watched.
+// Move turns to another address and watches it at once, if the old one was watched or the list is kept.
 func (d *Client) Move(ctx context.Context, addr string) {
 	d.mu.Lock()
 	if addr == d.addr {
@@ -289,7 +338,7 @@
 		return
 	}
 	d.addr, d.version = addr, unknown
-	watched := d.current != nil || d.next != nil
+	watched := d.kept || d.current != nil || d.next != nil
 	d.mu.Unlock()
 	d.log.Info("discovery moved", "discovery", addr)
 	if watched {
