Module: the limit hears slow answers whole; keyed draws less steep in slowness

Checked: the agents' own counts (50 in flight at one instance, 12 at one server) show a limit that grew in the crowd. In pace an answer counted at most as outlier*base or two aimed floors; where warm keys make the usual latency short (base 0.1 of the aim) that is 0.4 against an aimed mean of 0.3, so the mean passes it only when nearly all answers are slow. Change: outlierAimed in pace, where an agent's part of the least limit is an attempt or more; the square of slowness in pick where keys draw the choice. Each has a test that fails without it.

--- a/saltmast.go
+++ b/saltmast.go
@@ -50,7 +50,9 @@
 	// refuses uneven work without need, more lets crowded servers slow down
 	aimedRise    = 3.0  // and above so many times its low: servers may slow down when crowded
 	aimedFloor   = 0.15 // but never below this: so far within the aim a delay harms nobody, and idle cores do
-	outlier      = 4.0  // one answer counts at most as so many times the usual latency, or two aimed floors
+	outlier      = 4.0  // one answer counts at most as so many times the usual latency, or two aimed floors ...
+	outlierAimed = 3.0  // ... or so many times the aimed mean: cut at little over that, nine in ten had to
+	// be slow before the limit fell, where warm keys make the usual latency short; all servers choked
 	sparseBelow  = 0.6  // part of the least limit, in attempts, below which an agent has no such limit
 	throttleAt   = 1.3  // requests sent for each answered in time: more wastes work on late answers ...
 	crowdAt      = 1.15 // ... and above so many, zones are crossed freely ...
@@ -408,14 +410,21 @@
 		if load < 1 || !linked {
 			// Departure: an even choice among idle backends would load slow ones as much as fast
 			// ones; each counts by the inverse cube of its observed slowness. Acts when speeds differ.
-			w := t.size() * b.warmth(t) / (slow * slow * slow)
+			// Where keys draw the choice, by the square: agents measure slowness each for themselves, and
+			// the steeper the weight, the more keys move with each new answer, away from what is warm.
+			keyed := b.s.WarmKeys && r.key != 0
+			steep := slow * slow
+			if !keyed {
+				steep *= slow
+			}
+			w := t.size() * b.warmth(t) / steep
 			if t.Zone != b.s.Zone && !crowded {
 				w /= 1 + crossWeight*b.s.CrossZonePrice
 			}
 			// Departure: where backends serve a key that they lately met with less work, the draw comes
 			// from the key: all agents choose alike, with no word between them, among those idle.
 			u := b.rng.Float64()
-			if b.s.WarmKeys && r.key != 0 {
+			if keyed {
 				u = keyedDraw(t.hash, r.key)
 			}
 			wait := -math.Log(max(u, 1e-12)) / w // the least is a choice by weight
@@ -818,13 +827,17 @@
 	// The mean spans what is in flight at once: over fewer samples, chance alone would cut a
 	// busy agent's limit. One heavy request says no more than that it was heavy.
 	weight := min(smooth, 1/b.limit())
-	b.delay += weight * (min(share, max(outlier*b.base, 2*aimedFloor), 2) - b.delay)
+	aimed := min(aimedDelay, max(aimedRise*b.base, aimedFloor))
+	most := max(outlier*b.base, 2*aimedFloor)
+	if !b.sparse(1) { // a quiet agent's mean is of too few answers
+		most = max(most, outlierAimed*aimed)
+	}
+	b.delay += weight * (min(share, most, 2) - b.delay)
 	low := b.delay - b.base
 	if low > 0 {
 		low /= 100 // the low rises a hundred times slower than it falls
 	}
 	b.base += weight * smooth * low
-	aimed := min(aimedDelay, max(aimedRise*b.base, aimedFloor))
 	switch {
 	case b.delay > aimed && b.now-b.cutAt > time.Duration(b.classes[0].latency):
 		b.perBack = max(floorPerBack, b.perBack*limitCut)
--- a/saltmast_test.go
+++ b/saltmast_test.go
@@ -1097,6 +1097,28 @@
 	}
 }
 
+// Where keys make the usual latency short, most answers are slow in a crowd and some still quick. Seen on an
+// overloaded day: one slow answer counted as little more than the aimed mean, the limit grew, and all servers choked.
+func TestLimitFallsAmongQuickAnswers(t *testing.T) {
+	r := newRig(t, settings(), 1, backends(2))
+	for i := range 60 { // a tenth of the aim, as many at once as there is room for: the limit grows
+		r.waves(8+i/4, 8+i/4, safe, 40*ms)
+	}
+	for range 400 {
+		r.waves(1, 1, safe, 40*ms)
+		r.waves(1, 1, safe, 260*ms)
+	}
+	n := 0
+	for i := range 40 {
+		id := fmt.Sprint("q", i)
+		r.request(id, safe)
+		n += len(r.sent[id])
+	}
+	if n != 4*2 {
+		t.Errorf("%d in flight while every other answer is slow, want the floor of 8", n)
+	}
+}
+
 // Incident ieb2a7b: many agents that grow their limits at once must not overshoot together.
 func TestLimitGrowsPerBackend(t *testing.T) {
 	total := func(balancers int) int {
@@ -1538,6 +1560,40 @@
 	}
 }
 
+// Agents measure speeds each for themselves; what differs little between them must move few keys. 96 keys at two
+// agents, one of which finds half of the backends a fifth slower.
+func TestWarmKeysStayWhereSpeedsDifferLittle(t *testing.T) {
+	s := settings()
+	s.WarmKeys = true
+	run := func(slower time.Duration) map[string]string {
+		r := newRig(t, s, 1, backends(8))
+		choice := map[string]string{}
+		for round := range 6 {
+			for i := range 96 {
+				key, id := fmt.Sprint("k", i), fmt.Sprint("q", round, "-", i)
+				r.keyed(id, safe, key)
+				b, lat := r.sent[id][0], 20*ms
+				if b >= "e" {
+					lat += slower
+				}
+				choice[key] = b
+				r.outcome(id, saltmast.OK, lat)
+				r.now += ms
+			}
+		}
+		return choice
+	}
+	one, other, moved := run(0), run(4*ms), 0
+	for key, b := range one {
+		if other[key] != b {
+			moved++
+		}
+	}
+	if moved > 8 {
+		t.Errorf("%d of 96 keys went elsewhere", moved)
+	}
+}
+
 func TestKnownFirstInTrouble(t *testing.T) {
 	s := settings()
 	s.WarmKeys, s.MaxAttempts = true, 1
