--- a/cmd/latchkit/recording.go
+++ b/cmd/latchkit/recording.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"os"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -16,6 +15,7 @@
 	"saltmast/internal/recording"
 	"saltmast/internal/recording/audit"
 	"saltmast/internal/recording/mapping"
+	"saltmast/internal/replay"
 )
 
 // statusFindings is the status of a recording that has open findings.
@@ -51,17 +51,119 @@
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error { return f.check(cmd, args) },
 	}
-	fl := check.Flags()
+	f.reading(check)
+	check.Flags().BoolVar(&f.asJSON, "json", false, "print JSON")
+	c.AddCommand(check, convertCommand())
+	return c
+}
+
+// convertCommand writes recordings in another format.
+func convertCommand() *cobra.Command {
+	var f recordingFlags
+	var to, out, from, until string
+	c := &cobra.Command{
+		Use:   "convert FILE...",
+		Short: "Write recordings in another format, as one, in the order of their starts",
+		Long: `convert reads recordings and writes them as one, in the order in which requests
+came, as far as each tells. Entries without a start are left out, and so is what the
+format has no place for; how many, it says on standard error. Nothing is made up and
+nothing is made harmless: card numbers and credentials stay as they are.`,
+		Example: `  latchkit recording convert gate-1.log gate-2.log.gz --to envoy --out both.log
+  latchkit recording convert morning.har --to json --from 2026-12-01T06:00:00Z --until 2026-12-01T06:30:00Z`,
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error { return f.convert(cmd, args, to, out, from, until) },
+	}
+	fl := c.Flags()
+	fl.StringVar(&to, "to", "json", "the format to write: one of "+strings.Join(recording.Names(), ", ")+", or a log_format")
+	fl.StringVar(&out, "out", "-", "the `file` to write, - for standard output")
+	fl.StringVar(&from, "from", "", "leave out what came before this `time`")
+	fl.StringVar(&until, "until", "", "leave out what came from this `time` on")
 	fl.StringVar(&f.format, "format", "", "one of "+strings.Join(recording.Names(), ", ")+", or a log_format as nginx, Apache or Envoy has it (default: found out)")
 	fl.StringToStringVar(&f.fields, "fields", nil, "of JSON lines: which field is what, such as time=ts,path=req.uri")
-	fl.StringVar(&f.zone, "zone", "", "of times that name none, such as Asia/Kolkata (default: UTC, which is a finding)")
-	fl.StringSliceVar(&f.accept, "accept", nil, "`codes` of findings that are known and taken into account")
-	fl.StringVar(&f.rules, "map", "", "a TOML `file` of rules that map requests to classes; what none maps is a finding")
-	fl.BoolVar(&f.asJSON, "json", false, "print JSON")
-	c.AddCommand(check)
+	fl.StringVar(&f.zone, "zone", "", "of times that name none, such as Asia/Kolkata (default: UTC)")
 	return c
 }
 
+func (f *recordingFlags) convert(cmd *cobra.Command, names []string, to, out, from, until string) error {
+	o, err := f.options()
+	if err != nil {
+		return usage(err)
+	}
+	m := replay.MergeOptions{Exact: true}
+	if err := window(from, until, &m); err != nil {
+		return usage(err)
+	}
+	var sources []recording.Reader
+	for _, name := range names {
+		s, err := recording.Open(name, o)
+		if err != nil {
+			return usage(err)
+		}
+		defer s.Close()
+		sources = append(sources, s)
+	}
+	merger := replay.NewMerger(m, sources...)
+	written, refused, first := 0, 0, error(nil)
+	err = writeFile(cmd.OutOrStdout(), out, func(w io.Writer) error {
+		x, err := recording.NewWriter(w, to)
+		if err != nil {
+			return fmt.Errorf("--to: %w", err)
+		}
+		for n := 0; ; n++ {
+			if n%4096 == 0 && cmd.Context().Err() != nil {
+				return cmd.Context().Err()
+			}
+			e, err := merger.Next()
+			if err == io.EOF {
+				return x.Close()
+			}
+			if err != nil {
+				return err
+			}
+			switch err := x.Write(e.Entry); {
+			case errors.Is(err, recording.ErrUnwritable):
+				if refused++; first == nil {
+					first = err
+				}
+			case err != nil:
+				return err
+			default:
+				written++
+			}
+		}
+	})
+	if err != nil {
+		return other(err)
+	}
+	l := merger.Left()
+	errs := cmd.ErrOrStderr()
+	fmt.Fprintf(errs, "%d written; left out: %d unreadable, %d without a start, %d from a cache, %d outside the time asked for, %d that the format can't hold\n",
+		written, l.Unreadable, l.NoStart, l.Cached, l.Outside, refused)
+	if first != nil {
+		fmt.Fprintln(errs, "the first of these:", first)
+	}
+	if l.Truncated > 0 {
+		fmt.Fprintf(errs, "%d sources are cut off\n", l.Truncated)
+	}
+	return nil
+}
+
+// window reads the bounds of a time.
+func window(from, until string, m *replay.MergeOptions) (err error) {
+	for _, x := range []struct {
+		flag, text string
+		to         *time.Time
+	}{{"from", from, &m.From}, {"until", until, &m.Until}} {
+		if x.text == "" {
+			continue
+		}
+		if *x.to, err = time.Parse(time.RFC3339, x.text); err != nil {
+			return fmt.Errorf("--%s: %q is no time such as 2026-12-01T06:00:00Z", x.flag, x.text)
+		}
+	}
+	return nil
+}
+
 func (f *recordingFlags) options() (recording.Options, error) {
 	o := recording.Options{Format: f.format, Fields: f.fields}
 	if f.zone != "" {
@@ -88,15 +190,9 @@
 	if err != nil {
 		return usage(err)
 	}
-	var rules *mapping.Rules
-	if f.rules != "" {
-		text, err := os.ReadFile(f.rules)
-		if err == nil {
-			rules, err = mapping.Parse(f.rules, text, nil)
-		}
-		if err != nil {
-			return usage(err)
-		}
+	rules, err := f.mapping()
+	if err != nil {
+		return usage(err)
 	}
 	classes := map[string]int{}
 	a := audit.New(audit.Options{})
--- a/cmd/latchkit/rehearse.go
+++ b/cmd/latchkit/rehearse.go
@@ -20,6 +20,8 @@
 	"saltmast/internal/grade"
 	"saltmast/internal/naive"
 	"saltmast/internal/rehearsal"
+	"saltmast/internal/replay"
+	"saltmast/internal/replay/drive"
 	"saltmast/internal/scenario"
 )
 
@@ -30,6 +32,9 @@
 	size                       scenario.Size
 	agent, logs                string
 	protocol                   string
+	pushed                     bool
+	load                       string
+	recorded                   recordingFlags
 	json, html, record         string
 	plan, write, shrink, quiet bool
 	trials                     int
@@ -66,6 +71,9 @@
 	fl.Float64Var(&f.size.Speedup, "speedup", 0, "divides the times of service: work, aims, deadlines, faults (default 4)")
 	fl.StringVar(&f.agent, "agent", "", "`path` of the daemon, or naive:KIND for one with a flaw: "+strings.Join(naive.Kinds, ", ")+" (default: violetlatch beside latchkit, else latchkit itself)")
 	fl.StringVar(&f.protocol, "protocol", "", "what callers and servers speak: http, thrift-binary, thrift-compact or mixed (default http)")
+	fl.BoolVar(&f.pushed, "pushed", false, "the list is pushed to each agent's own machine and asked by none; out of reach, it is silent")
+	fl.StringVar(&f.load, "load", "", "play the load of a recorded `file` in place of a drawn one, at the scenario's pace and rate; its findings must be accepted")
+	f.recorded.reading(c)
 	fl.StringVar(&f.logs, "logs", "", "keep the agents' logs in this `folder`")
 	fl.StringVar(&f.json, "json", "", "write the grade as JSON to this `file`, - for standard output")
 	fl.StringVar(&f.html, "html", "", "write the grade as one HTML page to this `file`")
@@ -79,11 +87,12 @@
 	fl.StringVar(&f.out, "out", "", "with --shrink: write the smallest scenario to this `file` (default: standard output)")
 	c.MarkFlagsMutuallyExclusive("seeds", "seed", "scenario")
 	c.MarkFlagsMutuallyExclusive("plan", "write-scenario", "shrink", "seeds", "kill-settles")
+	c.MarkFlagsMutuallyExclusive("load", "seeds", "shrink", "write-scenario", "kill-settles")
 	c.MarkFlagsMutuallyExclusive("kill-settles", "json")
 	c.MarkFlagsMutuallyExclusive("kill-settles", "html")
 	c.MarkFlagsMutuallyExclusive("kill-settles", "record")
 	c.MarkFlagsMutuallyExclusive("kill-settles", "scenario")
-	for _, flag := range []string{"servers", "agents", "rate", "for", "speedup", "protocol"} {
+	for _, flag := range []string{"servers", "agents", "rate", "for", "speedup", "protocol", "pushed"} {
 		c.MarkFlagsMutuallyExclusive("scenario", flag)
 	}
 	return c
@@ -109,6 +118,11 @@
 	if strings.HasPrefix(f.agent, "naive:") && f.protocol != "" && f.protocol != "http" {
 		return errors.New("--protocol: agents with a flaw speak http alone")
 	}
+	for _, name := range []string{"format", "fields", "zone", "accept", "map"} {
+		if f.load == "" && cmd.Flags().Changed(name) {
+			return fmt.Errorf("--%s goes with --load", name)
+		}
+	}
 	if f.out != "" && !f.shrink {
 		return errors.New("--out goes with --shrink")
 	}
@@ -130,15 +144,21 @@
 		return usage(err)
 	}
 	out := cmd.OutOrStdout()
-	switch {
-	case f.write:
+	if f.write {
 		text, err := s.File()
 		if err == nil {
 			_, err = out.Write(text)
 		}
 		return other(err)
-	case f.plan:
-		_, err := scenario.MakePlan(s).WriteTo(out)
+	}
+	plan := scenario.MakePlan(s)
+	if f.load != "" {
+		if err := f.takeLoad(cmd.Context(), plan, cmd.ErrOrStderr()); err != nil {
+			return err
+		}
+	}
+	if f.plan {
+		_, err := plan.WriteTo(out)
 		return other(err)
 	}
 	command, err := f.command()
@@ -149,7 +169,7 @@
 	if err != nil {
 		return other(err)
 	}
-	res, err := f.play(cmd.Context(), s, command, !f.quiet)
+	res, err := f.playWith(cmd.Context(), rehearsal.Options{Plan: plan, Command: command, Logs: f.logs, Load: f.load}, !f.quiet)
 	if err != nil {
 		files.drop()
 		return other(err)
@@ -172,6 +192,29 @@
 	return verdict(res)
 }
 
+// takeLoad puts a recording's load into a plan, and says what became of it.
+func (f *rehearseFlags) takeLoad(ctx context.Context, plan *scenario.Plan, errs io.Writer) error {
+	o, err := f.recorded.options()
+	if err != nil {
+		return usage(err)
+	}
+	session := &drive.Session{Files: []string{f.load}, Read: o, Accept: f.recorded.accept, Plan: replay.Options{Seed: f.seed}}
+	if session.Rules, err = f.recorded.mapping(); err != nil {
+		return usage(err)
+	}
+	rate, err := rehearsal.Load(ctx, plan, session)
+	var open *drive.OpenError
+	switch {
+	case errors.As(err, &open):
+		return &ending{statusFindings, err}
+	case err != nil:
+		return usage(err)
+	}
+	fmt.Fprintf(errs, "load of %s: %d requests at %.0f a second on average, recorded at %.0f and played %.3g times as fast\n",
+		f.load, len(plan.Arrivals), plan.Scenario.Rate, rate, plan.Scenario.Speedup)
+	return nil
+}
+
 // verdict is the status of a run.
 func verdict(res *rehearsal.Result) error {
 	switch {
@@ -208,6 +251,7 @@
 	if f.protocol != "http" {
 		s.Protocol = f.protocol
 	}
+	s.List.Pushed = f.pushed
 	return s, s.Check()
 }
 
--- a/internal/recording/har.go
+++ b/internal/recording/har.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/url"
 	"strconv"
 	"strings"
@@ -134,7 +135,7 @@
 				return err
 			}
 			if ok && ms >= 0 && ms < 1e11 { // -1 where the browser does not know
-				e.Duration = time.Duration(ms * 1e6)
+				e.Duration = time.Duration(math.Round(ms * 1e6))
 			}
 		case "request":
 			return r.request(e, bad)
--- a/internal/recording/layout.go
+++ b/internal/recording/layout.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -370,7 +371,7 @@
 		if n*float64(unit) > float64(24*365*time.Hour) {
 			return fmt.Errorf("%.40q is longer than a year", v)
 		}
-		e.Duration = time.Duration(n * float64(unit))
+		e.Duration = time.Duration(math.Round(n * float64(unit)))
 	case "status":
 		n, err := strconv.Atoi(v)
 		if err != nil || n < -1 || n > 999 {
@@ -386,7 +387,7 @@
 	case "request":
 		method, rest, ok := strings.Cut(v, " ")
 		i := strings.LastIndexByte(rest, ' ')
-		if !ok || i < 0 || !strings.HasPrefix(rest[i+1:], "HTTP/") {
+		if !ok || method == "" || i < 1 || !strings.HasPrefix(rest[i+1:], "HTTP/") {
 			e.Field = put(e.Field, "request", v) // no request that could be sent again: kept as it is
 			return nil
 		}
@@ -467,7 +468,7 @@
 
 // resolutionOf is that of a time as it is written.
 func resolutionOf(v string) time.Duration {
-	i := strings.IndexByte(v, '.')
+	i := strings.IndexAny(v, ".,") // ISO 8601 has both, and so does the library
 	if i < 0 {
 		return time.Second
 	}
--- a/internal/recording/mapping/mapping.go
+++ b/internal/recording/mapping/mapping.go
@@ -38,12 +38,16 @@
 	Account string `toml:"account"`
 	ID      string `toml:"id"`
 	Route   string `toml:"route"`
+
+	// Effect is what repeating one does: safe, keyed or unsafe. It can make a class stricter than its requests show, never milder.
+	Effect string `toml:"effect"`
 }
 
 // Mapped is an entry in the kit's terms.
 type Mapped struct {
 	Class                           string
 	Tenant, Key, Account, ID, Route string // as recorded; none of it is ever sent as it is
+	Effect                          string // as the rule states it; "" where it does not
 }
 
 // Result says what became of an entry.
@@ -89,6 +93,8 @@
 			return nil, f.Error(at("class"), "what is dropped has none")
 		case !x.Drop && x.Class == "":
 			return nil, f.Error(at("class"), "missing")
+		case x.Effect != "" && !slices.Contains([]string{"safe", "keyed", "unsafe"}, x.Effect):
+			return nil, f.Error(at("effect"), fmt.Sprintf("%q is none of safe, keyed, unsafe", x.Effect))
 		case classes != nil && !x.Drop && !slices.Contains(classes, x.Class):
 			return nil, f.Error(at("class"), fmt.Sprintf("%q is none of %s", x.Class, strings.Join(classes, ", ")))
 		}
@@ -137,7 +143,7 @@
 			return Mapped{}, Dropped
 		}
 		get := func(from string) string { return find(e, plain, query, from) }
-		return Mapped{Class: x.Class, Tenant: get(x.Tenant), Key: get(x.Key), Account: get(x.Account), ID: get(x.ID), Route: get(x.Route)}, Taken
+		return Mapped{Class: x.Class, Tenant: get(x.Tenant), Key: get(x.Key), Account: get(x.Account), ID: get(x.ID), Route: get(x.Route), Effect: x.Effect}, Taken
 	}
 	return Mapped{}, Unmatched
 }
--- a/internal/rehearsal/config.go
+++ b/internal/rehearsal/config.go
@@ -44,9 +44,13 @@
 		}
 		profiles = append(profiles, p)
 	}
+	membership := "subscribe"
+	if s.List.Pushed {
+		membership = "automatic"
+	}
 	return map[string]any{
 		"Balancers": s.Agents, "Me": me, "TickMs": 5, "Dcs": []string{zone}, "Kinds": []string{kind, kindThrift},
-		"MembershipMode": "subscribe", "CountedBy": "request", "Profiles": profiles,
+		"MembershipMode": membership, "CountedBy": "request", "Profiles": profiles,
 		"Clients": map[string]any{"MarksRetry": true},
 		"PolicyLimits": map[string]any{"TryLimit": s.Rules.MaxAttempts, "SecondCopies": true, "MayProbe": true, "Cancel": true,
 			"MaxRetryAfterMs": 2000, "ConnectTimeoutMs": s.Rules.ConnectMs, "IdleCloseMs": s.Server.IdleMs},
--- a/internal/rehearsal/page.go
+++ b/internal/rehearsal/page.go
@@ -92,9 +92,13 @@
 // Again is the command that plays the same once more.
 func (r *Result) Again() string {
 	s := &r.Scenario
+	if r.Load != "" {
+		return fmt.Sprintf("latchkit rehearse --seed %d --servers %d --agents %d --for %g --speedup %g --load %s, with the same --rate, --map and --accept",
+			s.Seed, s.Servers, s.Agents, s.ForS, s.Speedup, r.Load)
+	}
 	size := scenario.Size{Servers: s.Servers, Agents: s.Agents, Rate: s.Rate, ForS: s.ForS, Speedup: s.Speedup}
 	again := scenario.Draw(s.Seed, size)
-	again.Protocol = s.Protocol
+	again.Protocol, again.List.Pushed = s.Protocol, s.List.Pushed
 	drawn, err := again.File()
 	if mine, err2 := s.File(); err != nil || err2 != nil || !bytes.Equal(drawn, mine) {
 		return "latchkit rehearse --scenario FILE, with the file that was played"
@@ -103,8 +107,11 @@
 	if s.Protocol != "" {
 		protocol = " --protocol " + s.Protocol
 	}
+	if s.List.Pushed {
+		protocol += " --pushed"
+	}
 	def := scenario.Draw(s.Seed, scenario.Size{})
-	def.Protocol = s.Protocol
+	def.Protocol, def.List.Pushed = s.Protocol, s.List.Pushed
 	if text, err := def.File(); err == nil && bytes.Equal(drawn, text) {
 		return fmt.Sprintf("latchkit rehearse --seed %d%s", s.Seed, protocol)
 	}
--- a/internal/rehearsal/run.go
+++ b/internal/rehearsal/run.go
@@ -29,6 +29,7 @@
 	Logs    string         // a folder for the agents' logs; "" for none
 	Settles bool           // the agents keep journals of settles, which are held against what the servers saw
 	Kills   int            // so many times an agent is killed at a random moment and started again
+	Load    string         // the recording whose load the plan has, for the report; "" for a drawn one
 	Tick    func(Progress) // called four times a second, and once at the end; may be nil
 }
 
@@ -44,7 +45,8 @@
 	*grade.Report
 	Scenario scenario.Scenario `json:"scenario"`
 	Agent    string            `json:"agent"`
-	Wall     time.Duration     `json:"wall_ns"` // of the whole run
+	Load     string            `json:"load,omitempty"` // the recording that it played
+	Wall     time.Duration     `json:"wall_ns"`        // of the whole run
 	Usage    Usage             `json:"usage"`
 	Servers  []ServerUse       `json:"servers"`
 	ListLoad ListLoad          `json:"list_load"`
@@ -188,8 +190,11 @@
 // set makes the stand-ins.
 func (r *run) set() error {
 	s := r.s
-	r.list = standin.NewList(standin.ListConfig{Period: ms(s.List.PeriodMs), LinesPerS: s.List.LinesPerS,
-		CallLines: s.List.CallLines, Timeout: ms(s.List.TimeoutMs), Record: r.record})
+	list := standin.ListConfig{Period: ms(s.List.PeriodMs), LinesPerS: s.List.LinesPerS, CallLines: s.List.CallLines, Timeout: ms(s.List.TimeoutMs), Record: r.record}
+	if s.List.Pushed {
+		list.Pushed, list.LinesPerS, list.Timeout = true, 0, 0
+	}
+	r.list = standin.NewList(list)
 	pods := map[int]*standin.Pod{}
 	longest := time.Duration(0)
 	for _, c := range s.Classes {
@@ -527,7 +532,7 @@
 		res.Servers = append(res.Servers, ServerUse{v.ID(), v.Stats()})
 	}
 	res.ListLoad.Calls, res.ListLoad.Watches, res.ListLoad.Lines = r.list.Load()
-	res.Agent = filepath.Base(res.Agent)
+	res.Agent, res.Load = filepath.Base(res.Agent), r.o.Load
 	return res
 }
 
--- a/internal/rehearsal/run_test.go
+++ b/internal/rehearsal/run_test.go
@@ -201,6 +201,33 @@
 	}
 }
 
+// At a site whose list is pushed nobody asks for it: agents must follow it all the same, also when it falls silent for a
+// while. Servers drain, are replaced and move meanwhile; an agent without a watch sends to them.
+func TestPushedList(t *testing.T) {
+	s := scenario.Draw(3, scenario.Size{Servers: 6, Agents: 2, Rate: 150, ForS: 6, Speedup: 8})
+	s.List.Pushed = true
+	s.Surges = nil
+	s.Faults = []scenario.Fault{
+		{Kind: scenario.Drain, AtS: 0.5, ForS: 1.5, Servers: []int{0}},
+		{Kind: scenario.Replaced, AtS: 1, ForS: 1, Servers: []int{1}},
+		{Kind: scenario.ListOut, AtS: 2.5, ForS: 1},
+		{Kind: scenario.Drain, AtS: 3.7, ForS: 1, Servers: []int{2}},
+	}
+	res := play(t, s, self("agent"))
+	if res.Verdict == grade.Broke {
+		t.Error(res.Line(), res.Breaches[0])
+	}
+	told := map[string]int{}
+	for _, e := range res.Events {
+		if e.Kind == grade.Told && len(e.Entries) > 0 && !e.Full {
+			told[e.Agent]++
+		}
+	}
+	if len(told) != 2 || told["n0"] < 4 || told["n1"] < 4 {
+		t.Errorf("changes that were told: %v, want all at both agents", told)
+	}
+}
+
 // A run that is stopped leaves no process, and a grade that says so.
 func TestStoppedRunIsPartial(t *testing.T) {
 	s := calm()
--- a/internal/replay/plan.go
+++ b/internal/replay/plan.go
@@ -11,6 +11,7 @@
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"saltmast/internal/recording"
@@ -24,6 +25,9 @@
 	Speed float64       // divides the time between requests
 	Scale float64       // times as many requests in the same time; below 1 thins, above 1 thickens
 	Retry time.Duration // a request of the same operation that comes so much later is a retry of it; 10 s
+	// Waterfall keeps the order of dependence within a page of a browser's recording: what began after something else of its
+	// page had ended waits for that, and as long again as it did then.
+	Waterfall bool
 }
 
 const (
@@ -32,6 +36,9 @@
 	maxScale = 10_000
 	// maxFamilies bounds the operations that are known at once.
 	maxFamilies = 1 << 17
+	// maxPages and maxOnPage bound what is known of browsers' pages.
+	maxPages  = 1024
+	maxOnPage = 512
 )
 
 // Planned is one request to send.
@@ -48,6 +55,15 @@
 	Try     int    // 0 for the first; a retry is only sent where the tries before it were refused
 	Body    int    // bytes
 	Entry   *recording.Entry
+
+	After Operation     // what it waits for; zero: nothing
+	Gap   time.Duration // and how long after the answer of that
+}
+
+// Operation names one of a plan. Op is 0 for none.
+type Operation struct {
+	Op   uint64
+	Copy int
 }
 
 // Planner takes mapped entries in the order of their starts and gives what to send, in the order of its moments.
@@ -64,6 +80,18 @@
 	rng      *rand.Rand
 	n        uint64
 	pending  []Planned // the copies that lie before the next entry
+	base     time.Duration
+	pages    map[string]*page
+	browsers []string // the keys of pages, oldest first
+}
+
+// page is what is known of a browser's page: the requests that have ended so far, the latest end last.
+type page struct{ ended []ended }
+
+type ended struct {
+	at   time.Time
+	op   uint64
+	kept []int
 }
 
 // family is a recorded operation: its first request and the retries of it.
@@ -97,7 +125,7 @@
 	if !(o.Scale > 0) || o.Scale > maxScale {
 		return nil, ErrScale
 	}
-	p := &Planner{o: o, most: maxFamilies, families: map[string]*family{}, rng: rand.New(rand.NewPCG(o.Seed, 0x7265706c6179))}
+	p := &Planner{o: o, most: maxFamilies, families: map[string]*family{}, pages: map[string]*page{}, rng: rand.New(rand.NewPCG(o.Seed, 0x7265706c6179))}
 	p.next = p.rng.Float64()
 	return p, nil
 }
@@ -117,6 +145,7 @@
 	if start.Before(p.last) {
 		return nil, ErrOrder
 	}
+	defer p.depend(e, start)
 	gap := start.Sub(p.last)
 	p.last = start
 	p.pending = p.pending[:0]
@@ -152,6 +181,65 @@
 	return p.pending, nil
 }
 
+// Again has the recording begin anew behind what was planned: what Add takes from now on lies after a pause of gap, as
+// recorded, and is other operations than before.
+func (p *Planner) Again(gap time.Duration) {
+	if !p.started {
+		return
+	}
+	p.base += p.last.Sub(p.first) + gap
+	p.started = false
+	clear(p.families)
+	clear(p.pages)
+	p.browsers = nil
+}
+
+// depend notes on what the requests of a browser's page wait, and what later ones may wait for. It ends Add.
+func (p *Planner) depend(e *recording.Entry, start time.Time) {
+	name := e.Field["har-page"]
+	if !p.o.Waterfall || name == "" || len(p.pending) == 0 {
+		return
+	}
+	name = e.Source + "\x00" + name
+	g := p.pages[name]
+	if g == nil {
+		if len(p.browsers) >= maxPages {
+			delete(p.pages, p.browsers[0])
+			p.browsers = p.browsers[1:]
+		}
+		g = &page{}
+		p.pages[name] = g
+		p.browsers = append(p.browsers, name)
+	}
+	// The latest end that lies before this start: what a browser was waiting for last.
+	i, _ := slices.BinarySearchFunc(g.ended, start, func(x ended, t time.Time) int {
+		if x.at.After(t) {
+			return 1
+		}
+		return -1
+	})
+	if i > 0 {
+		f := g.ended[i-1]
+		for k := range p.pending {
+			if slices.Contains(f.kept, p.pending[k].Copy) && f.op != p.pending[k].Op {
+				p.pending[k].After = Operation{f.op, p.pending[k].Copy}
+				p.pending[k].Gap = time.Duration(float64(start.Sub(f.at)) / p.o.Speed)
+			}
+		}
+	}
+	if e.Duration < 0 || p.pending[0].Try > 0 {
+		return
+	}
+	x := ended{at: start.Add(e.Duration), op: p.pending[0].Op}
+	for k := range p.pending {
+		x.kept = append(x.kept, p.pending[k].Copy)
+	}
+	i, _ = slices.BinarySearchFunc(g.ended, x, func(a, b ended) int { return a.at.Compare(b.at) })
+	if g.ended = slices.Insert(g.ended, i, x); len(g.ended) > maxOnPage {
+		g.ended = g.ended[1:]
+	}
+}
+
 // identity is what an operation is known by: its key, or else its id; "" for neither.
 func identity(m mapping.Mapped) string {
 	switch {
@@ -196,7 +284,7 @@
 }
 
 func (p *Planner) planned(e *recording.Entry, at time.Time, m mapping.Mapped, f *family, c, try int) Planned {
-	q := Planned{At: time.Duration(float64(at.Sub(p.first)) / p.o.Speed), Class: m.Class, Tenant: m.Tenant, Op: f.op, Copy: c, Try: try, Body: len(e.Body), Entry: e}
+	q := Planned{At: time.Duration(float64(p.base+at.Sub(p.first)) / p.o.Speed), Class: m.Class, Tenant: m.Tenant, Op: f.op, Copy: c, Try: try, Body: len(e.Body), Entry: e}
 	if len(e.Body) == 0 && e.Sent > 0 {
 		q.Body = int(min(e.Sent, recording.MaxBody))
 	}
--- a/internal/scenario/plan.go
+++ b/internal/scenario/plan.go
@@ -114,15 +114,6 @@
 	for _, c := range s.Classes {
 		total += thousandths(c.Share)
 	}
-	type class struct {
-		mean   int64 // us
-		cv     q
-		pareto bool
-	}
-	var classes []class
-	for _, c := range s.Classes {
-		classes = append(classes, class{thousandths(c.WorkMs), milli(thousandths(c.WorkCV)), c.Dist == "pareto"})
-	}
 	for agent := range s.Agents {
 		d := newDice(s.Seed, 100+uint64(agent))
 		weight := weights[agent]
@@ -143,13 +134,7 @@
 			if c.Effect == Keyed {
 				a.Key = fmt.Sprintf("%016x%016x", d.Uint64(), d.Uint64())
 			}
-			k := classes[a.Class]
-			a.WorkUs = max(1, d.work(k.cv, k.pareto).times(k.mean))
-			a.Budget = max(1, thousandths(c.DeadlineMs)*thousandths(s.Clients.BudgetShare)/1_000_000)
-			if d.chance(thousandths(s.Clients.Impatient)) {
-				a.LeaveUs = d.between(0, a.Budget*500)
-			}
-			a.Honours = d.chance(thousandths(s.Clients.Honour))
+			p.habits(&a, d)
 			p.Arrivals = append(p.Arrivals, a)
 		}
 	}
@@ -305,9 +290,13 @@
 
 // RetryID is the id of the nth further try of a request. It is as new as any.
 func RetryID(id string, n int) string {
+	return fmt.Sprintf("%016x", hash(fmt.Sprintf("%s#%d", id, n)))
+}
+
+func hash(text string) uint64 {
 	h := fnv.New64a()
-	fmt.Fprintf(h, "%s#%d", id, n)
-	return fmt.Sprintf("%016x", h.Sum64())
+	io.WriteString(h, text)
+	return h.Sum64()
 }
 
 // WriteTo writes the plan as JSON lines: a head with the scenario, then servers, steps and arrivals.
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -69,6 +69,10 @@
 	LinesPerS      float64 `toml:"lines_per_s"`
 	CallLines      int     `toml:"call_lines"` // what a call costs, in lines
 	TimeoutMs      float64 `toml:"timeout_ms"` // a call that waited longer fails
+
+	// Pushed: it stands on each agent's own machine, which it costs nothing to ask; the agents' settings say so, and none asks.
+	// While it is out of reach it is silent.
+	Pushed bool `toml:"pushed,omitempty" json:",omitempty"`
 }
 
 // Clients are the habits of the callers.
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -21,6 +21,7 @@
 	CallLines int           // what a call costs beyond its lines
 	Timeout   time.Duration // a call that would wait longer fails with 503
 	Beat      time.Duration // an empty line comes so often while nothing changes; 0 is 2 s
+	Pushed    bool          // it stands on the agent's own machine: out of reach, it says nothing and ends nothing
 	Record    *Record
 }
 
@@ -43,7 +44,8 @@
 	log     []change // all that it has learned
 	shown   int      // while stale: how much of the log it shows; -1: all
 	out     bool
-	cut     chan struct{} // closed when watches are to end
+	cut     chan struct{} // closed when watches are to end, or to fall silent
+	back    chan struct{} // closed when it is in reach again; nil while it is
 	news    chan struct{} // closed with the next change
 	busy    time.Time     // until then it is at work on calls
 	told    map[string]map[string]grade.Entry
@@ -131,6 +133,24 @@
 	l.c.Record.Add(grade.Event{Kind: grade.ListOut})
 	close(l.cut)
 	l.cut = make(chan struct{})
+	l.back = make(chan struct{})
+}
+
+// silent waits until a pushed list is in reach, and returns what is closed when it is no longer; false: the agent left.
+func (l *List) silent(ctx context.Context) (chan struct{}, bool) {
+	for {
+		l.mu.Lock()
+		cut, back := l.cut, l.back
+		l.mu.Unlock()
+		if back == nil {
+			return cut, true
+		}
+		select {
+		case <-back:
+		case <-ctx.Done():
+			return nil, false
+		}
+	}
 }
 
 // In brings it back. With a time of the record above 0 it shows what it knew then, until Catch.
@@ -141,6 +161,8 @@
 		return
 	}
 	l.out = false
+	close(l.back)
+	l.back = nil
 	if asOf > 0 {
 		before := l.state(len(l.log))
 		l.shown = 0
@@ -360,7 +382,12 @@
 	call := func(status int) {
 		l.c.Record.Add(grade.Event{Kind: grade.Call, Agent: agent, Status: status})
 	}
-	if out {
+	if out && l.c.Pushed {
+		var ok bool
+		if cut, ok = l.silent(r.Context()); !ok {
+			return
+		}
+	} else if out {
 		call(http.StatusServiceUnavailable)
 		if odd {
 			panic(http.ErrAbortHandler) // a reset, as good as an answer
@@ -442,7 +469,10 @@
 				case <-r.Context().Done():
 					return
 				case <-cut:
-					panic(http.ErrAbortHandler)
+					if cut = l.ended(r.Context()); cut == nil {
+						return
+					}
+					waiting = false
 				case <-beat.C:
 					if _, err := w.Write([]byte("\n")); err != nil || flush() != nil {
 						return
@@ -452,12 +482,25 @@
 			case <-r.Context().Done():
 				return
 			case <-cut:
-				panic(http.ErrAbortHandler)
+				if cut = l.ended(r.Context()); cut == nil {
+					return
+				}
+				waiting = false
 			}
 		}
 	}
 }
 
+// ended is the end of a watch whose list is out of reach: a reset. A pushed one falls silent, and goes on when it is back; nil
+// says that the agent has left meanwhile.
+func (l *List) ended(ctx context.Context) chan struct{} {
+	if !l.c.Pushed {
+		panic(http.ErrAbortHandler)
+	}
+	cut, _ := l.silent(ctx)
+	return cut
+}
+
 // Close ends all watches and calls and waits for them.
 func (l *List) Close() {
 	l.server.Close()
--- a/internal/standin/list_test.go
+++ b/internal/standin/list_test.go
@@ -320,3 +320,45 @@
 		}
 	}
 }
+
+// A pushed list that is out of reach is silent: its watches stay, a call waits, and both go on where they were.
+func TestPushedListIsSilent(t *testing.T) {
+	l := newListRig(t, ListConfig{Pushed: true})
+	l.set("a", grade.Serving)
+	lines := l.watch("")
+	<-lines
+	l.Out()
+	l.set("a", grade.Draining)
+	called := make(chan error, 1)
+	go func() {
+		resp, err := l.get("")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				err = fmt.Errorf("status %d", resp.StatusCode)
+			}
+		}
+		called <- err
+	}()
+	l.until("the call", func() bool { calls, _, _ := l.Load(); return calls == 2 })
+	select {
+	case got := <-lines:
+		t.Errorf("told %+v while out of reach", got)
+	case err := <-called:
+		t.Errorf("answered while out of reach: %v", err)
+	default:
+	}
+	l.In(0)
+	if err := <-called; err != nil {
+		t.Error(err)
+	}
+	for got := range lines {
+		if len(got.Servers) == 0 { // a beat
+			continue
+		}
+		if got.Full || got.Servers[0].State != grade.Draining {
+			t.Errorf("told %+v", got)
+		}
+		break
+	}
+}
--- a/saltmast.go
+++ b/saltmast.go
@@ -50,7 +50,7 @@
 	// refuses uneven work without need, more lets crowded servers slow down
 	aimedRise    = 3.0  // and above so many times its low: servers may slow down when crowded
 	aimedFloor   = 0.15 // but never below this: so far within the aim a delay harms nobody, and idle cores do
-	outlier      = 4.0  // one answer counts at most as so many times the usual latency, or two aimed floors ...
+	outlier      = 4.0  // one answer counts at most as so many times the usual latency, or two floors ...
 	outlierAimed = 3.0  // ... or so many times the aimed mean: cut at little over that, nine in ten had to
 	// be slow before the limit fell, where warm keys make the usual latency short; all servers choked
 	sparseBelow  = 0.6  // part of the least limit, in attempts, below which an agent has no such limit
