--- a/internal/replay/drive/drive.go
+++ b/internal/replay/drive/drive.go
@@ -166,6 +166,7 @@
 			}
 		}
 	}()
+	defer exact()()
 	d.start = time.Now()
 	var failed error
 	begun, ticked := false, time.Now()
@@ -179,7 +180,7 @@
 		if !begun { // the clock starts once the first one is there
 			begun, d.start = true, time.Now().Add(-s.p.At)
 		}
-		if !d.until(s.p.At) {
+		if !d.pace(s.p.At) {
 			break
 		}
 		if o.Tick != nil && time.Since(ticked) > 250*time.Millisecond {
@@ -209,6 +210,23 @@
 	return &d.res, nil
 }
 
+// coarse is how far ahead of a moment the runtime's timer is asked to end: as late as it may be.
+const coarse = 2 * time.Millisecond
+
+// pace waits for a planned moment as exactly as the machine can; false: the run has ended. Only the one goroutine that called exact
+// may use it: it holds its thread. Measured with the runtime's timers alone: half a millisecond late at the median, in steps of one,
+// and times between arrivals at a distance of 0.15 to 0.5 from the recording's.
+func (d *driver) pace(at time.Duration) bool {
+	due := d.start.Add(at)
+	if wait := time.Until(due); wait > coarse && !d.until(at-coarse) {
+		return false
+	}
+	for wait := time.Until(due); wait > 0; wait = time.Until(due) {
+		nap(wait)
+	}
+	return d.ctx.Err() == nil
+}
+
 // until waits for a planned moment; false: the run has ended.
 func (d *driver) until(at time.Duration) bool {
 	wait := time.Until(d.start.Add(at))
