--- a/internal/replay/drive/page.go
+++ b/internal/replay/drive/page.go
@@ -136,7 +136,7 @@
 func (chart) H() float64     { return chartH }
 func (chart) Label() float64 { return chartX - 8 }
 func (chart) Foot() float64  { return chartH + 18 }
-func (chart) Total() float64 { return chartH + 26 }
+func (chart) Total() float64 { return chartH + 34 }
 
 func niceStep(v float64) float64 {
 	if !(v > 0) {
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -120,6 +120,11 @@
 		return fmt.Errorf("server %s: runs already, or was closed", s.id)
 	}
 	l, err := net.Listen("tcp", s.addr)
+	// Between two lives its port is free for anyone: an outgoing connection of another process may hold it for a moment.
+	for n := 0; n < 20 && errors.Is(err, syscall.EADDRINUSE); n++ {
+		time.Sleep(10 * time.Millisecond)
+		l, err = net.Listen("tcp", s.addr)
+	}
 	if err != nil {
 		return fmt.Errorf("server %s: %w", s.id, err)
 	}
