The address that was in use: a process being started holds the listener's copy

Seen: "bind: address already in use" as a stand-in came back, once in three runs of check.sh. Checked: four goroutines that start processes beside one that restarts a server fail within a dozen restarts: a new process has copies of all descriptors until it runs its own program (server.start). syscall.ForkLock round the close leaves one in some 1,000: it is given back a little before the kernel closes the copies.

--- a/internal/replay/drive/play.go
+++ b/internal/replay/drive/play.go
@@ -41,28 +41,27 @@
 
 // Report is a replay with what it rests on.
 type Report struct {
-	Audit    *audit.Report             `json:"audit"`
-	Accepted []string                  `json:"accepted,omitempty"` // findings that are there and were accepted
-	Left     replay.Left               `json:"left"`               // what was left out or changed
-	Taken    int                       `json:"taken"`              // entries of a class
-	Dropped  int                       `json:"dropped"`
-	Retries  int                       `json:"recorded_retries"` // of Taken
-	Effects  map[string]replay.Effect  `json:"effects"`
-	Speed    float64                   `json:"speed"`
-	Scale    float64                   `json:"scale"`
-	Loops    int                       `json:"loops"`
-	Run      string                    `json:"run"`
-	Seed     uint64                    `json:"seed"`
-	Targets  []string                  `json:"targets"`
-	Measured string                    `json:"measured"` // at the stand-in, or as it left
-	Fidelity replay.Fidelity           `json:"fidelity"`
-	Result   *Result                   `json:"result"`
-	Sink     *standin.SinkStats        `json:"stand_in,omitempty"`
-	Behind   string                    `json:"behind,omitempty"` // why the rate was not reached
-	Shares   map[string][2]float64     `json:"class_shares"`     // recorded and replayed, in points of a hundred
-	Source   *replay.Shape             `json:"-"`
-	Replay   *replay.Shape             `json:"-"`
-	Counts   map[string]map[string]int `json:"-"`
+	Audit    *audit.Report            `json:"audit"`
+	Accepted []string                 `json:"accepted,omitempty"` // findings that are there and were accepted
+	Left     replay.Left              `json:"left"`               // what was left out or changed
+	Taken    int                      `json:"taken"`              // entries of a class
+	Dropped  int                      `json:"dropped"`
+	Retries  int                      `json:"recorded_retries"` // of Taken
+	Effects  map[string]replay.Effect `json:"effects"`
+	Speed    float64                  `json:"speed"`
+	Scale    float64                  `json:"scale"`
+	Loops    int                      `json:"loops"`
+	Run      string                   `json:"run"`
+	Seed     uint64                   `json:"seed"`
+	Targets  []string                 `json:"targets"`
+	Measured string                   `json:"measured"` // at the stand-in, or as it left
+	Fidelity replay.Fidelity          `json:"fidelity"`
+	Result   *Result                  `json:"result"`
+	Sink     *standin.SinkStats       `json:"stand_in,omitempty"`
+	Behind   string                   `json:"behind,omitempty"` // why the rate was not reached
+	Shares   map[string][2]float64    `json:"class_shares"`     // recorded and replayed, in points of a hundred
+	Source   *replay.Shape            `json:"-"`
+	Replay   *replay.Shape            `json:"-"`
 }
 
 // OpenError is the error of a recording that has findings which are not accepted.
--- a/internal/replay/drive/play_test.go
+++ b/internal/replay/drive/play_test.go
@@ -16,7 +16,7 @@
 	"saltmast/internal/replay"
 )
 
-// written is a file of Envoy's format with n requests: one in four a hold with a key (in the path of its user agent), the rest
+// written is a file of Envoy's format with n requests: one in four a hold, the rest
 // settles, of which one in ten is a client's retry of the one before, by the same id.
 func written(t *testing.T, n int) string {
 	t.Helper()
@@ -43,7 +43,7 @@
 	return name
 }
 
-// rules take an operation's identity from Envoy's request id.
+// session is a replay of files whose findings are accepted and whose lateness counts for nothing.
 func session(t *testing.T, files ...string) *Session {
 	t.Helper()
 	return &Session{Files: files, Accept: codes(), LateBound: time.Hour}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -120,9 +120,11 @@
 		return fmt.Errorf("server %s: runs already, or was closed", s.id)
 	}
 	l, err := net.Listen("tcp", s.addr)
-	// Between two lives its port is free for anyone: an outgoing connection of another process may hold it for a moment.
-	for n := 0; n < 20 && errors.Is(err, syscall.EADDRINUSE); n++ {
-		time.Sleep(10 * time.Millisecond)
+	// A process that is being started has copies of all descriptors until it runs its own program: the listener of the life before
+	// may go on there for a moment. Closing under syscall.ForkLock makes that rarer and no more: the lock is given back a little
+	// before the kernel closes the copies.
+	for n := 0; n < 200 && errors.Is(err, syscall.EADDRINUSE); n++ {
+		time.Sleep(time.Millisecond)
 		l, err = net.Listen("tcp", s.addr)
 	}
 	if err != nil {
