What two parts of the kit wrote twice stands once: chart steps, processor time, reading flags

Need: a second look at the replay found niceStep and ownCPU in rehearsal and in replay/drive, and three flags of recording convert named once more. Change: internal/chart, internal/usage, recordingFlags.reading and trusting. No change of behaviour.

--- a/cmd/latchkit/recording.go
+++ b/cmd/latchkit/recording.go
@@ -52,6 +52,7 @@
 		RunE: func(cmd *cobra.Command, args []string) error { return f.check(cmd, args) },
 	}
 	f.reading(check)
+	f.trusting(check)
 	check.Flags().BoolVar(&f.asJSON, "json", false, "print JSON")
 	c.AddCommand(check, convertCommand())
 	return c
@@ -78,9 +79,7 @@
 	fl.StringVar(&out, "out", "-", "the `file` to write, - for standard output")
 	fl.StringVar(&from, "from", "", "leave out what came before this `time`")
 	fl.StringVar(&until, "until", "", "leave out what came from this `time` on")
-	fl.StringVar(&f.format, "format", "", "one of "+strings.Join(recording.Names(), ", ")+", or a log_format as nginx, Apache or Envoy has it (default: found out)")
-	fl.StringToStringVar(&f.fields, "fields", nil, "of JSON lines: which field is what, such as time=ts,path=req.uri")
-	fl.StringVar(&f.zone, "zone", "", "of times that name none, such as Asia/Kolkata (default: UTC)")
+	f.reading(c)
 	return c
 }
 
--- a/cmd/latchkit/rehearse.go
+++ b/cmd/latchkit/rehearse.go
@@ -74,6 +74,7 @@
 	fl.BoolVar(&f.pushed, "pushed", false, "the list is pushed to each agent's own machine and asked by none; out of reach, it is silent")
 	fl.StringVar(&f.load, "load", "", "play the load of a recorded `file` in place of a drawn one, at the scenario's pace and rate; its findings must be accepted")
 	f.recorded.reading(c)
+	f.recorded.trusting(c)
 	fl.StringVar(&f.logs, "logs", "", "keep the agents' logs in this `folder`")
 	fl.StringVar(&f.json, "json", "", "write the grade as JSON to this `file`, - for standard output")
 	fl.StringVar(&f.html, "html", "", "write the grade as one HTML page to this `file`")
--- a/cmd/latchkit/replay.go
+++ b/cmd/latchkit/replay.go
@@ -82,6 +82,7 @@
 	fl.StringVar(&f.html, "html", "", "write the report as one HTML page to this `file`")
 	fl.BoolVar(&f.quiet, "quiet", false, "print the last line alone")
 	f.reading(c)
+	f.trusting(c)
 	c.MarkFlagsMutuallyExclusive("scale", "rate")
 	c.MarkFlagsMutuallyExclusive("to", "refuse")
 	return c
@@ -227,6 +228,11 @@
 	fl.StringVar(&f.format, "format", "", "one of "+strings.Join(recording.Names(), ", ")+", or a log_format as nginx, Apache or Envoy has it (default: found out)")
 	fl.StringToStringVar(&f.fields, "fields", nil, "of JSON lines: which field is what, such as time=ts,path=req.uri")
 	fl.StringVar(&f.zone, "zone", "", "of times that name none, such as Asia/Kolkata (default: UTC, which is a finding)")
+}
+
+// trusting adds the flags that say what of a recording is taken, and as what.
+func (f *recordingFlags) trusting(c *cobra.Command) {
+	fl := c.Flags()
 	fl.StringSliceVar(&f.accept, "accept", nil, "`codes` of findings that are known and taken into account")
 	fl.StringVar(&f.rules, "map", "", "a TOML `file` of rules that map requests to classes; what none maps is a finding")
 }
--- a/internal/rehearsal/page.go
+++ b/internal/rehearsal/page.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"saltmast/internal/chart"
 	"saltmast/internal/grade"
 	"saltmast/internal/scenario"
 )
@@ -147,7 +148,7 @@
 	for _, s := range r.Seconds {
 		top = max(top, s.Requests)
 	}
-	step := niceStep(float64(top) / 4)
+	step := chart.NiceStep(float64(top) / 4)
 	most := step * math.Ceil(float64(top)/step)
 	for v := 0.0; v <= most; v += step {
 		d.Load = append(d.Load, tick{d.LoadTop + d.LoadH*(1-v/most), fmt.Sprintf("%.0f", v)})
@@ -155,7 +156,7 @@
 	for _, v := range []float64{0, 0.5, 1} {
 		d.Shares = append(d.Shares, tick{d.ShareTop + d.ShareH*(1-v), fmt.Sprintf("%.0f%%", 100*v)})
 	}
-	every := niceStep(length / 10)
+	every := chart.NiceStep(length / 10)
 	for v := 0.0; v <= length+1e-9; v += every {
 		d.XTicks = append(d.XTicks, tick{x(v), fmt.Sprintf("%.4g s", v)})
 	}
@@ -199,17 +200,3 @@
 	}
 	return page.Execute(w, d)
 }
-
-// niceStep is the 1, 2 or 5 times a power of ten that is v or the next above it.
-func niceStep(v float64) float64 {
-	if !(v > 0) {
-		return 1
-	}
-	p := math.Pow(10, math.Floor(math.Log10(v)))
-	for _, m := range []float64{1, 2, 5} {
-		if v <= m*p*(1+1e-9) {
-			return m * p
-		}
-	}
-	return 10 * p
-}
--- a/internal/rehearsal/run.go
+++ b/internal/rehearsal/run.go
@@ -14,12 +14,12 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"saltmast/internal/grade"
 	"saltmast/internal/scenario"
 	"saltmast/internal/standin"
+	"saltmast/internal/usage"
 )
 
 // Options say how a plan is played.
@@ -117,7 +117,7 @@
 // that the run could not be played; nothing is left running either way.
 func Run(ctx context.Context, o Options) (*Result, error) {
 	began := time.Now()
-	cpu := ownCPU()
+	cpu := usage.CPU()
 	dir, err := os.MkdirTemp("", "latchkit-")
 	if err != nil {
 		return nil, err
@@ -519,7 +519,7 @@
 	res := &Result{Report: grade.Judge(rules(r.s), events), Scenario: *r.s, Agent: r.o.Command[len(r.o.Command)-1],
 		Wall: time.Since(began), Events: events}
 	res.Partial = partial
-	res.Usage = Usage{KitCPU: ownCPU() - cpu, Cores: runtime.NumCPU()}
+	res.Usage = Usage{KitCPU: usage.CPU() - cpu, Cores: runtime.NumCPU()}
 	for _, a := range r.agents {
 		cpu, rss := a.usage()
 		res.Usage.AgentCPU += cpu
@@ -535,12 +535,3 @@
 	res.Agent, res.Load = filepath.Base(res.Agent), r.o.Load
 	return res
 }
-
-// ownCPU is the processor time that this process has used.
-func ownCPU() time.Duration {
-	var u syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
--- a/internal/replay/drive/drive.go
+++ b/internal/replay/drive/drive.go
@@ -14,13 +14,13 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"saltmast/internal/recording"
 	"saltmast/internal/replay"
+	"saltmast/internal/usage"
 	"saltmast/internal/work"
 )
 
@@ -136,7 +136,7 @@
 	if len(o.Targets) == 0 {
 		return nil, errors.New("no target")
 	}
-	cpu := ownCPU()
+	cpu := usage.CPU()
 	d := &driver{o: o, work: work.New(), ops: map[opKey]*op{}, late: hdrhistogram.New(1, int64(time.Hour), 3), took: hdrhistogram.New(1, int64(time.Hour), 3)}
 	d.res.Unsent = map[string]int{}
 	for _, t := range o.Targets {
@@ -203,7 +203,7 @@
 	if failed != nil {
 		return nil, failed
 	}
-	d.finish(ctx.Err() != nil, ownCPU()-cpu)
+	d.finish(ctx.Err() != nil, usage.CPU()-cpu)
 	if o.Tick != nil {
 		o.Tick(Progress{d.res.Wall, d.lastAt, d.res.Sent})
 	}
@@ -554,12 +554,3 @@
 	r.LateP50, r.LateP99, r.LateMax = time.Duration(d.late.ValueAtQuantile(50)), time.Duration(d.late.ValueAtQuantile(99)), time.Duration(d.late.Max())
 	r.AnswerP50, r.AnswerP99 = time.Duration(d.took.ValueAtQuantile(50)), time.Duration(d.took.ValueAtQuantile(99))
 }
-
-// ownCPU is the processor time that this process has used.
-func ownCPU() time.Duration {
-	var u syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
--- a/internal/replay/drive/page.go
+++ b/internal/replay/drive/page.go
@@ -12,6 +12,7 @@
 	"text/tabwriter"
 	"time"
 
+	"saltmast/internal/chart"
 	"saltmast/internal/replay"
 )
 
@@ -118,7 +119,7 @@
 	Label string
 }
 
-type chart struct {
+type graph struct {
 	Source, Replay string // paths
 	X, Y           []mark
 	Hover          []hover
@@ -130,26 +131,13 @@
 }
 
 // Left and Right, Top and Bottom, and the place of labels.
-func (chart) Left() float64  { return chartX }
-func (chart) Right() float64 { return chartX + chartW }
-func (chart) Width() float64 { return chartX + chartW + 20 }
-func (chart) H() float64     { return chartH }
-func (chart) Label() float64 { return chartX - 8 }
-func (chart) Foot() float64  { return chartH + 18 }
-func (chart) Total() float64 { return chartH + 34 }
-
-func niceStep(v float64) float64 {
-	if !(v > 0) {
-		return 1
-	}
-	p := math.Pow(10, math.Floor(math.Log10(v)))
-	for _, m := range []float64{1, 2, 5} {
-		if v <= m*p*(1+1e-9) {
-			return m * p
-		}
-	}
-	return 10 * p
-}
+func (graph) Left() float64  { return chartX }
+func (graph) Right() float64 { return chartX + chartW }
+func (graph) Width() float64 { return chartX + chartW + 20 }
+func (graph) H() float64     { return chartH }
+func (graph) Label() float64 { return chartX - 8 }
+func (graph) Foot() float64  { return chartH + 18 }
+func (graph) Total() float64 { return chartH + 34 }
 
 // path draws points as a line.
 func path(xs, ys []float64) string {
@@ -165,8 +153,8 @@
 }
 
 // rates draws requests a second over time, the recording's as they were to be replayed.
-func (r *Report) rates() chart {
-	var c chart
+func (r *Report) rates() graph {
+	var c graph
 	n := max(len(r.Source.Bins), len(r.Replay.Bins))
 	per := (n + mostPoints - 1) / mostPoints
 	width := r.Replay.Width.Seconds() * float64(per)
@@ -185,7 +173,7 @@
 		got = append(got, sum(r.Replay.Bins, i, 1))
 		most = max(most, want[i], got[i])
 	}
-	step := niceStep(most / 4)
+	step := chart.NiceStep(most / 4)
 	most = step * math.Ceil(most/step)
 	length := width * float64(points)
 	x := func(s float64) float64 { return chartX + chartW*s/length }
@@ -206,7 +194,7 @@
 	for v := 0.0; v <= most*(1+1e-9); v += step {
 		c.Y = append(c.Y, mark{y(v), fmt.Sprintf("%.0f", v)})
 	}
-	every := niceStep(length / 10)
+	every := chart.NiceStep(length / 10)
 	for v := 0.0; v <= length+1e-9; v += every {
 		c.X = append(c.X, mark{x(v), fmt.Sprintf("%.4g s", v)})
 	}
@@ -214,8 +202,8 @@
 }
 
 // gaps draws the share of times between arrivals that are at most so long, the replay's as if it ran as the recording did.
-func (r *Report) gaps() chart {
-	var c chart
+func (r *Report) gaps() graph {
+	var c graph
 	low, high := math.Inf(1), 0.0
 	for _, s := range []*replay.Shape{r.Source, r.Replay} {
 		low, high = min(low, float64(s.Gap(0.001))), max(high, float64(s.Gap(0.9999)))
@@ -245,8 +233,8 @@
 }
 
 // lateness draws how late the share of requests was.
-func (r *Report) lateness() chart {
-	var c chart
+func (r *Report) lateness() graph {
+	var c graph
 	if len(r.Result.Late) == 0 {
 		return c
 	}
@@ -293,7 +281,7 @@
 		*Report
 		Line                  string
 		Status                string
-		Rates, Gaps, Lateness chart
+		Rates, Gaps, Lateness graph
 		Rows                  []row
 		Second, Allowed       float64
 	}{r, r.Line(), status, r.rates(), r.gaps(), r.lateness(), rows, 100 * r.Fidelity.Second, 100 * replay.SecondBound})
