--- a/saltmast.go
+++ b/saltmast.go
@@ -844,9 +844,9 @@
 		b.cutAt, b.opened = b.now, true
 	case b.delay < aimed && float64(b.inFlight-b.stuck)+1 >= b.limit()*0.9:
 		grow := limitGrow / b.limit()
-		// Up to the first cut a slow start: an attempt for each answer, less near the aimed delay, doubles the
-		// limit in a round. Guards against parts by head count where traffic is uneven: of 80 agents one had
-		// 22% of the requests and a part of 3, gained 4 a second and refused half, while servers stood idle.
+		// Up to the first cut a slow start: an attempt for each answer, less near the aimed delay, doubles
+		// the limit in a round. Guards against parts by head count where traffic is uneven: of 80 agents one
+		// had 22% of the requests and a part of 3, gained 4 a second and refused half, while servers idled.
 		if !b.opened && b.capacity > 0 {
 			grow = max(grow, (1-b.delay/aimed)*float64(b.s.Balancers)/b.capacity)
 		}
