--- a/saltmast.go
+++ b/saltmast.go
@@ -403,7 +403,7 @@
 			load = mean // a new one gets no rush
 		}
 		slow := b.slowness(t)
-		linked := b.isLinked(t)
+		linked := b.isLinked(t) || t.joined && load < 1
 		if linked {
 			links++
 		}
@@ -463,6 +463,21 @@
 	return len(t.out) > 0 || t.linked && (b.s.IdleClose == 0 || b.now-t.usedAt < b.s.IdleClose)
 }
 
+// setPart is the working set's part of the backends that are up: with that chance a newcomer, new or
+// started again, joins the set, as long as the others are idle too. Guards against a fleet that is replaced
+// under agents that have their set: with 36 of 60 new, agents kept to the 24 old ones, took these for the
+// fleet, cut their limits for the queues there and refused a quarter, while the new ones idled. Sets keep
+// their size by it: an even draw among all for one attempt in twenty opened half as many connections again.
+func (b *Balancer) setPart() float64 {
+	links := 0.0
+	for _, t := range b.backends {
+		if t.State == Up && b.isLinked(t) {
+			links++
+		}
+	}
+	return links / float64(max(b.up, 1))
+}
+
 // size is what the list says of a backend's size, against others; 1 where it says nothing.
 func (t *backend) size() float64 {
 	if t.Weight > 0 {
@@ -656,7 +671,7 @@
 	if e.Result == OK || e.Result == Errored {
 		t.heard = max(t.heard, a.sent)
 	}
-	t.linked, t.usedAt = e.Result == OK || e.Result == Errored, b.now
+	t.linked, t.usedAt, t.joined = e.Result == OK || e.Result == Errored, b.now, false
 	switch e.Result {
 	case OK:
 		// It came back before the list told: treat it as just started. One failure is no proof that it was
@@ -975,6 +990,7 @@
 		b.askFails = 0
 	}
 	full := e.Kind != ListDelta
+	part := b.setPart()
 	listed := map[string]bool{}
 	for _, n := range e.Backends {
 		listed[n.ID] = true
@@ -989,11 +1005,13 @@
 			if n.Started > 0 {
 				b.start(t, n.Started)
 			}
+			t.joined = b.rng.Float64() < part // see setPart
 			continue
 		}
 		if n.Started > t.Started {
 			b.start(t, max(n.Started, t.warmFrom))
 			t.strikes, t.ejected, t.down = 0, 0, false
+			t.joined = b.rng.Float64() < part
 		}
 		t.Backend = n
 	}
--- a/saltmast_test.go
+++ b/saltmast_test.go
@@ -1181,6 +1181,59 @@
 	}
 }
 
+// Days at size: six in ten backends are replaced. The newcomers get their part of what comes, though each agent sends little
+// and would do with those it knows; and working sets, which are connections, stay about as large as they were.
+func TestNewcomersJoinWorkingSets(t *testing.T) {
+	const agents, each, old, gone = 40, 60, 60, 36
+	name := func(i int) string { return fmt.Sprint("b", i) }
+	var list []saltmast.Backend
+	for i := range old {
+		list = append(list, saltmast.Backend{ID: name(i)})
+	}
+	s := settings()
+	s.Balancers = agents
+	var rigs []*rig
+	for i := range agents {
+		r := newRig(t, s, uint64(i), list)
+		r.waves(each, 3, safe, 20*ms)
+		rigs = append(rigs, r)
+	}
+	var change []saltmast.Backend
+	for i := range gone {
+		change = append(change, saltmast.Backend{ID: fmt.Sprint("new", i), Started: rigs[0].now})
+	}
+	after, fresh, before, links := 0, 0, 0, 0
+	for _, r := range rigs {
+		used := map[string]bool{}
+		for _, to := range r.sent {
+			used[to[0]] = true
+		}
+		before += len(used)
+		r.step(saltmast.List{Kind: saltmast.ListDelta, Backends: change})
+		r.advance(s.RampTime) // warm: what cold ones may get is another matter
+		var leave []saltmast.Backend
+		for i := range gone {
+			leave = append(leave, saltmast.Backend{ID: name(i), State: saltmast.Draining})
+		}
+		r.step(saltmast.List{Kind: saltmast.ListDelta, Backends: leave})
+		clear(used)
+		for to, n := range r.waves(each, 3, safe, 20*ms) {
+			used[to] = true
+			after += n
+			if strings.HasPrefix(to, "new") {
+				fresh += n
+			}
+		}
+		links += len(used)
+	}
+	if part := float64(fresh) / float64(after); part < 0.45 || part > 0.75 {
+		t.Errorf("newcomers, six in ten, get %.2f of what comes, want about 0.6", part)
+	}
+	if links > before*3/2 {
+		t.Errorf("working sets grew from %d to %d backends, %d agents together", before, links, agents)
+	}
+}
+
 // Incident ieb2a7b: many agents that grow their limits at once must not overshoot together.
 func TestLimitGrowsPerBackend(t *testing.T) {
 	total := func(balancers int) int {
--- a/state.go
+++ b/state.go
@@ -81,6 +81,7 @@
 	failedAt time.Duration // ... and when the first of them was
 	linked   bool          // in the working set: connected as far as can be told, and not turning work away
 	usedAt   time.Duration // when that was last used
+	joined   bool          // drawn into the working set when it joined, and not tried yet
 	warmFrom time.Duration // when its latest start became known or seen
 	cold     bool
 	budget   float64 // work that may be sent while it is cold
