--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -303,6 +303,15 @@
 	return d.kept && d.next == nil && (d.current == nil || d.current.addr != d.addr)
 }
 
+// distrust has the next watch of an address ask for the whole list.
+func (d *Client) distrust(w *watch) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.addr == w.addr {
+		d.version = unknown
+	}
+}
+
 // ended forgets a watch that ended by itself and reports whether the module is to hear of it: while
 // another one is to replace it, nothing is lost.
 func (d *Client) ended(w *watch) bool {
@@ -413,6 +422,7 @@
 	defer resp.Body.Close()
 	d.establish(w, false)
 	d.log.Info("watch begins", "discovery", w.addr, "since", w.since)
+	last := w.since
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, 4096), maxListing)
 	for lines.Scan() {
@@ -428,6 +438,13 @@
 		if ctx.Err() != nil {
 			return ctx.Err() // replaced or silent meanwhile: what follows is not ours to tell
 		}
+		// Guards against changes out of their order, which would bring back what is gone. A watch's first line may begin
+		// anew with the whole list: then the list was set up again, and counts otherwise.
+		if l.Version < last && !(l.Full && last == w.since) {
+			d.distrust(w)
+			return fmt.Errorf("version steps back from %d to %d", last, l.Version)
+		}
+		last = l.Version
 		if !d.take(w, w.addr, l) {
 			return errors.New("changes came before the whole list")
 		}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -103,6 +103,36 @@
 	}
 }
 
+// Guards against changes that come out of their order: the list in force stays, and the next watch asks for all of it.
+func TestVersionThatStepsBack(t *testing.T) {
+	d := newLists(t)
+	disc, events := follow(t, d, long)
+	receive(t, d.Watch)
+	d.Say <- `{"version":5,"full":false,"servers":[` + entry("s0", "127.0.0.1:1", "DELETED") + `]}`
+	if e := receive(t, events); e.Kind != saltmast.ListDelta {
+		t.Fatalf("event %+v", e)
+	}
+	d.Say <- `{"version":4,"full":false,"servers":[` + entry("s0", "127.0.0.1:1", "SERVING") + `]}`
+	if e := receive(t, events); e.Kind != saltmast.ListFailed {
+		t.Errorf("event %+v, want the watch to end", e)
+	}
+	if _, ok := disc.table.Serving("s0"); ok {
+		t.Error("what was gone may get work again by an older change")
+	}
+	if _, ok := disc.table.Serving("s1"); !ok {
+		t.Error("the list in force is lost")
+	}
+	disc.Subscribe(context.Background())
+	if q := receive(t, d.Watch); q != "follow=1" {
+		t.Errorf("watched again with %q, want the whole list", q)
+	}
+	d.Say <- `{"version":2,"full":true,"servers":[` + entry("s1", "127.0.0.1:2", "SERVING") + `]}`
+	if e := receive(t, events); e.Kind != saltmast.ListFull {
+		t.Errorf("event %+v: a list that was set up anew must count", e)
+	}
+	disc.Unsubscribe()
+}
+
 func TestFetch(t *testing.T) {
 	d := newLists(t)
 	d.Whole = func() string {
