--- /dev/null
+++ b/internal/model/list.go
@@ -0,0 +1,179 @@
+package model
+
+import (
+	"time"
+
+	"saltmast"
+	"saltmast/internal/scenario"
+)
+
+// list is the server list: one service for all agents that works through calls in turn, learns late, passes changes on now
+// and then, and is out of reach at times.
+type list struct {
+	w       *world
+	log     []entry // all that it ever learned
+	started map[string]time.Duration
+	out     bool
+	busy    time.Duration // when it is done with the calls it has
+	watches []*watch      // in the order in which they began
+	passing bool          // an event is set that passes changes on
+
+	calls, failed, watched, lines int
+}
+
+// entry is what the list learned of one server.
+type entry struct {
+	ident   *identity
+	state   saltmast.BackendState
+	started time.Duration // on the agents' clock; 0: long ago
+}
+
+// watch is one agent's.
+type watch struct {
+	a    *agent
+	life int // of the agent
+	seen int // entries of the log that it was told
+	over bool
+}
+
+func (l *list) begin() {
+	l.started = map[string]time.Duration{}
+	for _, s := range l.w.servers {
+		l.log = append(l.log, entry{ident: s.ident})
+	}
+}
+
+var states = map[string]saltmast.BackendState{"SERVING": saltmast.Up, "DRAINING": saltmast.Draining, "DELETED": saltmast.Gone}
+
+// learn takes a change and sees to it that it is passed on.
+func (l *list) learn(st *scenario.Step) {
+	n := l.w.byID[st.ID]
+	if n == nil { // the list hears of one that never came up: it was down again before
+		return
+	}
+	l.log = append(l.log, entry{ident: n, state: states[st.State], started: l.started[st.ID]})
+	if l.passing {
+		return
+	}
+	l.passing = true
+	period := time.Duration(l.w.s.List.PeriodMs * float64(time.Millisecond))
+	l.w.at(l.w.now.Truncate(period)+period, func() {
+		l.passing = false
+		for _, w := range append([]*watch(nil), l.watches...) {
+			l.update(w)
+		}
+	})
+}
+
+// update tells a watch what is new to it.
+func (l *list) update(w *watch) {
+	if w.over || l.out || w.seen == len(l.log) {
+		return
+	}
+	news := l.log[w.seen:]
+	w.seen = len(l.log)
+	done, ok := l.turn(len(news))
+	if !ok {
+		l.end(w)
+		return
+	}
+	l.lines += len(news)
+	l.w.at(done+l.w.hop(), func() {
+		if w.a.is(w.life) && !w.over {
+			w.a.told(w, news, false)
+		}
+	})
+}
+
+// turn is when the list gets to a call or an update of so many lines; false: that would take longer than its time-out.
+func (l *list) turn(lines int) (time.Duration, bool) {
+	c := &l.w.s.List
+	l.busy = max(l.busy, l.w.now)
+	if l.busy-l.w.now > time.Duration(c.TimeoutMs*float64(time.Millisecond)) {
+		return 0, false
+	}
+	l.busy += time.Duration(float64(lines) / c.LinesPerS * float64(time.Second))
+	return l.busy, true
+}
+
+// size is how many servers the list shows.
+func (l *list) size() int {
+	n := map[*identity]bool{}
+	for _, e := range l.log {
+		if e.state == saltmast.Gone {
+			delete(n, e.ident)
+		} else {
+			n[e.ident] = true
+		}
+	}
+	return len(n)
+}
+
+// subscribe is an agent's call for a watch that continues what it was told.
+func (l *list) subscribe(a *agent, life, version int) {
+	w := l.w
+	l.calls++
+	w.calls(a)
+	fail := func() {
+		l.failed++
+		w.after(w.hop(), func() {
+			if a.is(life) {
+				a.listFailed()
+			}
+		})
+	}
+	w.after(2*w.hop(), func() { // the connection, then the call
+		if l.out {
+			fail()
+			return
+		}
+		done, ok := l.turn(l.w.s.List.CallLines + l.size())
+		if !ok {
+			fail()
+			return
+		}
+		w.at(done, func() {
+			if l.out {
+				fail()
+				return
+			}
+			n := &watch{a: a, life: life, seen: len(l.log)}
+			news, full := l.log[max(0, version):], version < 0
+			l.watched++
+			l.watches = append(l.watches, n)
+			l.lines += len(news)
+			w.after(w.hop(), func() {
+				if a.is(life) && !n.over {
+					a.told(n, news, full)
+				}
+			})
+		})
+	})
+}
+
+// end ends a watch; its agent notices.
+func (l *list) end(w *watch) {
+	if w.over {
+		return
+	}
+	w.over = true
+	for i, o := range l.watches {
+		if o == w {
+			l.watches = append(l.watches[:i:i], l.watches[i+1:]...)
+			break
+		}
+	}
+	l.w.after(l.w.hop(), func() {
+		if w.a.is(w.life) && w.a.watch == w {
+			w.a.watch = nil
+			w.a.listFailed()
+		}
+	})
+}
+
+func (l *list) goOut() {
+	l.out = true
+	for _, w := range append([]*watch(nil), l.watches...) {
+		l.end(w)
+	}
+}
--- a/internal/scenario/plan.go
+++ b/internal/scenario/plan.go
@@ -299,6 +299,15 @@
 	return h.Sum64()
 }
 
+// Chance is a number in [0, 1) that follows from a request and a purpose: a fault hits the same requests each time.
+func Chance(id, purpose string) float64 {
+	x := hash(id + purpose)
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return float64(x>>11) / (1 << 53)
+}
+
 // WriteTo writes the plan as JSON lines: a head with the scenario, then servers, steps and arrivals.
 func (p *Plan) WriteTo(w io.Writer) (int64, error) {
 	out := &counter{w: bufio.NewWriterSize(w, 1<<16)}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -185,8 +185,16 @@
 
 func (p *Problem) Error() string { return p.Key + ": " + p.Why }
 
-// Check returns the first *Problem of a scenario, or nil.
+// Bounds are the sizes that a scenario may have where it is played.
+type Bounds struct{ Servers, Agents, Arrivals int }
+
+// Check returns the first *Problem of a scenario that is to be rehearsed, or nil.
 func (s *Scenario) Check() error {
+	return s.CheckWithin(Bounds{MaxServers, MaxAgents, MaxArrivals})
+}
+
+// CheckWithin is Check for another place than a rehearsal.
+func (s *Scenario) CheckWithin(within Bounds) error {
 	bad := func(key, why string, args ...any) error { return &Problem{key, fmt.Sprintf(why, args...)} }
 	type bound struct {
 		key       string
@@ -194,8 +202,8 @@
 	}
 	bounds := []bound{
 		{"speedup", s.Speedup, 0.1, 100}, {"for_s", s.ForS, 0.1, MaxLength.Seconds()},
-		{"servers", float64(s.Servers), 1, MaxServers}, {"pod_size", float64(s.PodSize), 1, MaxServers},
-		{"agents", float64(s.Agents), 1, MaxAgents}, {"rate", s.Rate, 0.1, 1e5},
+		{"servers", float64(s.Servers), 1, float64(within.Servers)}, {"pod_size", float64(s.PodSize), 1, float64(within.Servers)},
+		{"agents", float64(s.Agents), 1, float64(within.Agents)}, {"rate", s.Rate, 0.1, 1e5},
 		{"server.cores", float64(s.Server.Cores), 1, 1024}, {"server.queue_per_core", s.Server.QueuePerCore, 0, 1e4},
 		{"server.speed", s.Server.Speed, 0.01, 100}, {"server.speed_spread", s.Server.SpeedSpread, 0, 0.3},
 		{"server.cold_from", s.Server.ColdFrom, 0.01, 1}, {"server.cold_ms", s.Server.ColdMs, 0, 1e6},
@@ -279,8 +287,8 @@
 	for _, u := range s.Surges {
 		peak *= max(1, u.Times)
 	}
-	if n := s.Rate * s.ForS * peak; n > MaxArrivals {
-		return bad("rate", "up to %.0f arrivals in all, %d allowed", n, MaxArrivals)
+	if n := s.Rate * s.ForS * peak; n > float64(within.Arrivals) {
+		return bad("rate", "up to %.0f arrivals in all, %d allowed", n, within.Arrivals)
 	}
 	return nil
 }
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"saltmast/internal/grade"
+	"saltmast/internal/scenario"
 )
 
 // ServerConfig is what an auth server is like. Durations of zero switch off what they stand for.
@@ -399,7 +400,7 @@
 		n.waiting = append(n.waiting, start)
 	}
 	v.at, v.status = end, http.StatusOK
-	if s.c.ErrorRate > 0 && chance(id, "error-rate") < s.c.ErrorRate || hit(s.faults, "errors", id) {
+	if s.c.ErrorRate > 0 && scenario.Chance(id, "error-rate") < s.c.ErrorRate || hit(s.faults, "errors", id) {
 		v.status = http.StatusInternalServerError
 	}
 	return v
@@ -532,7 +533,7 @@
 			}
 			return s.lapse(c)
 		}
-		if v.status == http.StatusOK || chance(id, "ran") < 0.5 { // an error may have run
+		if v.status == http.StatusOK || scenario.Chance(id, "ran") < 0.5 { // an error may have run
 			say(grade.Effect, 0, 0)
 			if v.effect != nil {
 				v.effect.finish(true)
@@ -664,19 +665,7 @@
 // hit reports whether a fault is on and hits a request: the same ones each time. The caller holds s.mu.
 func hit(faults map[string]Spoil, kind, id string) bool {
 	f, ok := faults[kind]
-	return ok && (f.Part <= 0 || chance(id, kind) < f.Part)
-}
-
-// chance is a number in [0, 1) that follows from a request and a purpose.
-func chance(id, purpose string) float64 {
-	h := fnv.New64a()
-	io.WriteString(h, id)
-	io.WriteString(h, purpose)
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return float64(x>>11) / (1 << 53)
+	return ok && (f.Part <= 0 || scenario.Chance(id, kind) < f.Part)
 }
 
 func sum(b []byte) uint64 {
