--- a/saltmast.go
+++ b/saltmast.go
@@ -67,6 +67,8 @@
 	holdMargin  = 2.0   // a held request leaves when fewer than so many mean latencies remain to its aim
 	sparePlaces = 0.125 // of the requests that may be open, kept free for those to come
 	holdAtMost  = 0.75  // of the aim; a request may always be held for the rest of it
+	askFleet    = 64.0  // agents that may call the list as if they were few
+	askAtMost   = 2.0   // AskWithins over which a call comes again after a failed one: four are allowed
 	repeatValue = 0.1   // value of a client's repeat against a first try: most of its aim has passed
 )
 
@@ -985,13 +987,13 @@
 	if e.Kind == ListFailed {
 		// Asked again after an exponential, fully jittered wait.
 		b.askFails++
-		unit := float64(b.s.AskWithin) / 64
-		b.askToken = b.alarm(time.Duration(b.rng.Float64() * unit * math.Exp2(float64(min(b.askFails, 4)))))
+		b.askToken = b.alarm(time.Duration(b.rng.Float64() *
+			min(b.askUnit()*math.Exp2(float64(min(b.askFails, 4))), askAtMost*float64(b.s.AskWithin))))
 		return
 	}
 	if e.Kind == ListCached && b.s.Subscribe {
 		// Spread in time, since all agents may start at once.
-		b.askToken = b.alarm(time.Duration(b.rng.Float64() * float64(b.s.AskWithin) / 64))
+		b.askToken = b.alarm(time.Duration(b.rng.Float64() * min(b.askUnit(), float64(b.s.AskWithin)/2)))
 	} else {
 		b.askFails = 0
 	}
@@ -1029,6 +1031,14 @@
 	b.forgetGone()
 }
 
+// askUnit is the span over which calls of the list are spread at the least. The list is one service for all
+// and does not grow with the fleet: beyond askFleet agents the span grows with their number, so that all
+// together call no more often. Guards against a storm of calls that all fail because all call: in the model
+// with 1,280 agents 97% failed, 4,700 in a second.
+func (b *Balancer) askUnit() float64 {
+	return float64(b.s.AskWithin) / 64 * max(1, float64(b.s.Balancers)/askFleet)
+}
+
 // ---- Attempts and final answers ----
 
 // send starts an attempt. Nothing else does; the rules are checked here last.
--- a/saltmast_test.go
+++ b/saltmast_test.go
@@ -1309,6 +1309,37 @@
 }
 
 // Events about things unknown, late or repeated do nothing.
+// The list is one service and does not grow with the fleet: sixteen times the agents, told so, call it little more often while
+// it fails, and none waits longer than it may (AskWithin for the first call, four times that after a failed one).
+func TestListCallsDoNotGrowWithTheFleet(t *testing.T) {
+	const sample = 40
+	total := func(balancers int) float64 {
+		s := settings()
+		s.Balancers, s.Subscribe = balancers, true
+		calls := 0
+		for seed := range sample {
+			r := newRig(t, s, uint64(seed), backends(4))
+			end := r.now + 4*s.AskWithin
+			for first := true; ; first = false {
+				n := len(r.due) - 1
+				if wait, most := r.due[n]-r.now, 4*s.AskWithin; wait > most || first && wait > s.AskWithin {
+					t.Fatalf("%d agents: a call after %v (the first: %v)", balancers, wait, first)
+				}
+				if r.now = r.due[n]; r.now >= end {
+					break
+				}
+				calls++
+				r.step(r.timers[n])
+				r.step(saltmast.List{Kind: saltmast.ListFailed})
+			}
+		}
+		return float64(calls) / sample * float64(balancers)
+	}
+	if few, many := total(64), total(1024); many > 4*few {
+		t.Errorf("64 agents make %.0f calls of a list that fails, 1,024 make %.0f", few, many)
+	}
+}
+
 func TestStrayEvents(t *testing.T) {
 	r := newRig(t, settings(), 1, backends(2))
 	r.request("done", safe)
