--- a/internal/model/lab/check.go
+++ b/internal/model/lab/check.go
@@ -29,7 +29,7 @@
 // FiguresOf are a model's run.
 func FiguresOf(r *model.Result) Figures {
 	return Figures{Share: r.Share, Worst: r.Worst, Requests: float64(r.Requests), Served: float64(r.Served), Late: float64(r.Late),
-		Refused: float64(r.Refused), Tries: float64(r.Tries), Attempts: float64(r.Attempts), Connects: float64(r.Connects), ListCalls: float64(r.ListCalls)}
+		Refused: float64(r.Refused), Tries: float64(r.Tries), Attempts: float64(r.Attempts), Connects: float64(r.Taken), ListCalls: float64(r.ListCalls)}
 }
 
 // Pair is one scenario played both ways.
--- a/internal/model/score.go
+++ b/internal/model/score.go
@@ -35,6 +35,7 @@
 	Errors        int `json:"errors"`
 
 	Connects  int     `json:"connects"`   // dialled by all agents
+	Taken     int     `json:"taken"`      // of them, that came up at a server
 	MostConns int     `json:"most_conns"` // at one server, at once
 	Connected float64 `json:"connected"`  // connections at a server, in the mean over time and servers
 	ListCalls int     `json:"list_calls"`
@@ -185,6 +186,7 @@
 	sum, most, n := 0, 0, 0
 	for _, s := range w.servers {
 		r.MostConns = max(r.MostConns, s.most)
+		r.Taken += s.handshake
 		if s.life != nil && !s.life.cold {
 			sum, most, n = sum+s.requests, max(most, s.requests), n+1
 		}
