--- a/internal/model/lab/lab_test.go
+++ b/internal/model/lab/lab_test.go
@@ -133,6 +133,11 @@
 	if e.Mean != 2.5 || math.Abs(e.Half-2.0543) > 1e-4 || !e.Clear() {
 		t.Errorf("%+v", e)
 	}
+	for want, e := range map[string]Estimate{"972.2 ±413": {Mean: 972.21, Half: 412.7}, "26091 ±2000": {Mean: 26091.2, Half: 2000.4}, "0.8748 ±0.069": {Mean: 0.87484, Half: 0.0691}} {
+		if e.String() != want {
+			t.Errorf("%s, want %s", e, want)
+		}
+	}
 	if e := estimate([]float64{7}); !math.IsNaN(e.Half) || e.Clear() {
 		t.Errorf("one seed: %+v", e)
 	}
--- a/internal/model/lab/stats.go
+++ b/internal/model/lab/stats.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math"
+	"strconv"
 
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
@@ -65,9 +66,17 @@
 
 func (e Estimate) String() string {
 	if math.IsNaN(e.Half) {
-		return fmt.Sprintf("%.4g", e.Mean)
+		return figure(e.Mean, 4)
 	}
-	return fmt.Sprintf("%.4g ±%.2g", e.Mean, e.Half)
+	return figure(e.Mean, 4) + " ±" + figure(e.Half, 2)
+}
+
+// figure writes a number with so many digits that count, and whole ones without an exponent.
+func figure(v float64, digits int) string {
+	if math.Abs(v) >= math.Pow10(digits) && math.Abs(v) < 1e9 {
+		return strconv.FormatFloat(v, 'f', 0, 64)
+	}
+	return strconv.FormatFloat(v, 'g', digits, 64)
 }
 
 // Clear reports whether the interval leaves nought out.
