--- a/internal/model/agent.go
+++ b/internal/model/agent.go
@@ -204,7 +204,7 @@
 	if r == nil || r.ended {
 		return
 	}
-	if how == refused && r.risky && a.w.s.Classes[r.job.plan.Class].Effect == "unsafe" {
+	if how == refused && (r.risky || r.out > 0) && a.w.s.Classes[r.job.plan.Class].Effect == "unsafe" {
 		a.w.doubtful++
 	}
 	r.ended = true
@@ -294,7 +294,6 @@
 func (t *attempt) write() {
 	w := t.a.w
 	t.c.busy = t
-	t.r.risky = true
 	budget := t.r.cut - w.now
 	w.after(w.hop(), func() {
 		if t.c != nil && t.c.life != nil {
@@ -324,6 +323,7 @@
 	}
 	r := t.r
 	r.out--
+	r.risky = r.risky || !res.NeverRan() // turned away, it proves that nothing ran
 	if res == saltmast.OK {
 		a.answer(r, served, 0)
 	}
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -41,7 +41,7 @@
 	cut      time.Duration
 	attempts []*attempt
 	out      int
-	risky    bool
+	risky    bool // some attempt may have run
 	ended    bool
 }
 
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -70,6 +70,18 @@
 
 // Run plays a plan to its end.
 func Run(o Options) (*Result, error) {
+	w, err := newWorld(o)
+	if err != nil {
+		return nil, err
+	}
+	if err := w.play(); err != nil {
+		return nil, err
+	}
+	return w.result(), nil
+}
+
+// newWorld is the fleet as it is when clients come, with all set that the plan holds.
+func newWorld(o Options) (*world, error) {
 	s := &o.Plan.Scenario
 	if err := Supported(s); err != nil {
 		return nil, err
@@ -110,9 +122,14 @@
 		w.at(clockStart+st.At(), func() { w.step(st) })
 	}
 	w.arrivals(0)
+	return w, nil
+}
+
+// play brings one event after the other until all that was asked has ended.
+func (w *world) play() error {
 	for n := 0; len(w.heap) > 0; n++ {
-		if n == o.MaxEvents {
-			return nil, fmt.Errorf("model: %d events and no end", n)
+		if n == w.o.MaxEvents {
+			return fmt.Errorf("model: %d events and no end", n)
 		}
 		e := w.pop()
 		w.now = e.at
@@ -121,7 +138,7 @@
 			break
 		}
 	}
-	return w.result(), nil
+	return nil
 }
 
 // arrivals brings the planned first tries, one event for all that come at a time.
