Agent's tests: a dead server has an address that no other test takes

Seen: check.sh failed once on TestOutcomesAreRecorded: the server that ought to be dead answered. Its port at 127.0.0.1 had been given back, and one of the tests beside it got it. Both tests that do so take the port at 127.0.0.77, where none listens.

--- a/internal/agent/journal_test.go
+++ b/internal/agent/journal_test.go
@@ -117,7 +117,8 @@
 func TestOutcomesAreRecorded(t *testing.T) {
 	t.Parallel()
 	dir := t.TempDir()
-	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	// An address of its own, which nobody else listens on: a port given back at 127.0.0.1 went to a test that runs beside this one.
+	dead, err := net.Listen("tcp", "127.0.0.77:0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/agent/thrift_conns_test.go
+++ b/internal/agent/thrift_conns_test.go
@@ -108,7 +108,7 @@
 // A sale goes on to another server where the first lets no connection come up: nothing can have run there.
 func TestThriftUnsafeGoesOnAfterNoConnection(t *testing.T) {
 	t.Parallel()
-	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	dead, err := net.Listen("tcp", "127.0.0.77:0")
 	if err != nil {
 		t.Fatal(err)
 	}
