--- a/api.go
+++ b/api.go
@@ -210,6 +210,13 @@
 		Done    bool          // the request has its final answer, by this outcome or before
 		Load    Load
 	}
+	// Maintenance says that operators have taken a backend out of service, or put it back. It gets nothing new
+	// meanwhile, whatever the list says. Put back, it counts as started at Since.
+	Maintenance struct {
+		Backend string
+		Out     bool
+		Since   time.Duration
+	}
 	// StreamStarted says that the answer of an attempt has begun to reach the client.
 	StreamStarted struct {
 		Request string
@@ -312,6 +319,7 @@
 func (List) event()          {}
 func (Request) event()       {}
 func (Outcome) event()       {}
+func (Maintenance) event()   {}
 func (StreamStarted) event() {}
 func (Abandoned) event()     {}
 func (ProbeResult) event()   {}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,6 +18,7 @@
 	"saltmast/internal/discovery"
 	"saltmast/internal/front/http"
 	thriftfront "saltmast/internal/front/thrift"
+	"saltmast/internal/handover"
 	settleslog "saltmast/internal/settles/log"
 	"saltmast/internal/thrift"
 	"saltmast/internal/upstream"
@@ -27,6 +28,9 @@
 // what waits in a closed listener's queue is lost.
 const acceptFor = 500 * time.Millisecond
 
+// emptyFor bounds the wait until all that waits in the listener's queue has been accepted.
+const emptyFor = 300 * time.Millisecond
+
 // Agent is one agent: its listeners for the application, a loop for each protocol, and their connections.
 type Agent struct {
 	loop   *core.Loop // of the HTTP front; it moves the list
@@ -42,6 +46,10 @@
 	ups     []*upstream.Backends
 	follow  func(context.Context) // keeps a list that is pushed; nil: the module asks for it
 
+	config   *config.Config
+	service  *service     // nil: no second address
+	listener net.Listener // the clients' own
+
 	acceptFor time.Duration // see the constant
 }
 
@@ -49,6 +57,7 @@
 type front interface {
 	Serve() error
 	Drain()
+	SetDrained(bool)
 	Stop(ctx context.Context) error
 }
 
@@ -73,7 +82,7 @@
 	table := discovery.NewMembers()
 	table.Apply(known)
 	first := event(known, saltmast.ListCached)
-	a := &Agent{table: table, log: log, acceptFor: acceptFor}
+	a := &Agent{table: table, log: log, acceptFor: acceptFor, config: c}
 	share := 1 // of the descriptors and open requests, for each protocol
 	var t *config.Thrift
 	if c.Operator != nil && c.Operator.Thrift != nil {
@@ -88,7 +97,20 @@
 	}
 	ofHTTP := func(b saltmast.Backend) bool { return !ofThrift(b) }
 
-	up := upstream.New(c.Settings, table, c.BackendConns()/share, log)
+	if c.Calls != "" {
+		s, err := newService(a, c, clock, log)
+		if err != nil {
+			return nil, err
+		}
+		a.service = s
+		defer func() {
+			if a.front == nil { // what follows failed
+				s.close()
+			}
+		}()
+	}
+
+	up := upstream.New(c.Settings, table, c.BackendConns(1)/share, log)
 	a.ups = append(a.ups, up)
 	var err error
 	var record []bool // by class
@@ -105,7 +127,7 @@
 		}()
 	}
 	a.loop, err = core.New(core.Options{Settings: c.Settings, OpenRequests: c.OpenRequests() / share, Seed: c.Seed, Clock: clock, Log: log,
-		Known: discovery.Part(first, ofHTTP), Decider: decide, Admit: a.admit()})
+		Known: discovery.Part(first, ofHTTP), First: a.told(), Decider: decide, Admit: a.admit()})
 	if err != nil {
 		return nil, err
 	}
@@ -118,14 +140,19 @@
 	} else if err := a.addThrift(c, t, options, first, clock, up, decide, record, ofHTTP, ofThrift); err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", c.Listen)
+	listen := func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+	if a.service != nil { // the next version starts beside this one
+		listen = handover.Listen
+	}
+	listener, err := listen(c.Listen)
 	if err != nil {
 		if a.thrift != nil {
 			a.thrift.Close()
 		}
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	a.conns = conns.New(listener, c.ClientConns()/share)
+	a.listener = listener
+	a.conns = conns.New(listener, c.ClientConns(1)/share)
 	a.front = http.New(http.Options{Settings: c.Settings, Classes: c.Names.Classes, Tenants: c.Names.Tenants, Loop: a.loop,
 		Conns: a.conns, Serving: table.Any, Log: log, Record: recordOf(c.Operator, record)})
 	a.fronts = append(a.fronts, a.front)
@@ -144,11 +171,11 @@
 	s.MayProbe = s.MayProbe && t.Ping != ""
 	log := a.log.With("protocol", "thrift")
 	loop, err := core.New(core.Options{Settings: s, OpenRequests: c.OpenRequests() / 2, Seed: c.Seed + 1, Clock: clock, Log: log,
-		Known: discovery.Part(first, ofThrift), Decider: decide, Admit: a.admit()})
+		Known: discovery.Part(first, ofThrift), First: a.told(), Decider: decide, Admit: a.admit()})
 	if err != nil {
 		return err
 	}
-	upThrift := upstream.New(s, a.table, c.BackendConns()/2, log)
+	upThrift := upstream.New(s, a.table, c.BackendConns(1)/2, log)
 	upThrift.Ping, upThrift.Protocol = t.Ping, to
 	if a.journal != nil {
 		upThrift.Journal = a.journal
@@ -180,7 +207,7 @@
 	if err != nil {
 		return fmt.Errorf("thrift: listen: %w", err)
 	}
-	a.thrift = conns.New(listener, c.ClientConns()/2)
+	a.thrift = conns.New(listener, c.ClientConns(1)/2)
 	a.loops = append(a.loops, loop)
 	a.fronts = append(a.fronts, thriftfront.New(thriftfront.Options{Settings: s, Tenants: c.Names.Tenants, Methods: methods, Loop: loop,
 		Conns: a.thrift, To: to, Rejected: t.Rejected, Limits: thrift.Limits{Frame: t.FrameBytes}, Log: log}))
@@ -213,6 +240,30 @@
 	a.loop.Move(c.Discovery)
 }
 
+// told is what a new module hears of what operators said.
+func (a *Agent) told() []saltmast.Event {
+	if a.service == nil {
+		return nil
+	}
+	return a.service.first()
+}
+
+// clients are the listeners of clients.
+func (a *Agent) clients() []*conns.Listener {
+	if a.thrift != nil {
+		return []*conns.Listener{a.conns, a.thrift}
+	}
+	return []*conns.Listener{a.conns}
+}
+
+// CallsAddr is where operators call; nil: nowhere.
+func (a *Agent) CallsAddr() net.Addr {
+	if a.service == nil {
+		return nil
+	}
+	return a.service.server.Addr()
+}
+
 // Run serves until stop ends, then finishes what was taken.
 func (a *Agent) Run(stop context.Context) error {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
@@ -227,6 +278,10 @@
 		a.follow(ctx)
 	}
 	a.recall(ctx)
+	if a.service != nil {
+		a.service.run(ctx)
+		defer a.service.close()
+	}
 	failed := make(chan error, len(a.fronts))
 	for _, f := range a.fronts {
 		go func() { failed <- f.Serve() }()
@@ -237,6 +292,9 @@
 	case <-stop.Done():
 	}
 	a.log.Info("draining")
+	if a.service != nil {
+		a.service.steer()
+	}
 	for _, f := range a.fronts {
 		f.Drain()
 	}
@@ -248,6 +306,8 @@
 		return fmt.Errorf("serving: %w", err)
 	case <-time.After(a.acceptFor):
 	}
+	for end := time.Now().Add(emptyFor); !handover.Empty(a.listener) && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
 	bound, done := context.WithTimeout(ctx, core.DrainFor-a.acceptFor+100*time.Millisecond)
 	defer done()
 	stopped := make(chan error, len(a.fronts))
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -18,6 +18,8 @@
 	Name      string
 	Listen    string // where clients connect
 	Discovery string // host:port of discovery
+	Calls     string // where operators call; "": nowhere
+	Scratch   string // the folder that the processes of this agent share; "": none. The system's common one is no agent's own
 	Seed      uint64
 	MemoryMB  int // 0: no limit
 	Sockets   int // file descriptors that the process may hold; 0: no limit
@@ -27,12 +29,31 @@
 	Known     discovery.Listing // the backends as last known; may be old
 }
 
+// An agent with a second address runs twice during an upgrade, both processes within one bound: each keeps some room for
+// the second address, the list and files, and halves the rest while there are two.
+const callsRoom = 32
+
 // ClientConns and BackendConns share out the descriptors: half to clients, of whom more wait than are
-// out at backends when all is crowded; three eighths to backends. The rest is room.
-func (c *Config) ClientConns() int { return c.Sockets / 2 }
+// out at backends when all is crowded; three eighths to backends. The rest is room. processes is how many of this agent live.
+func (c *Config) ClientConns(processes int) int { return c.part(processes, 4) }
 
 // BackendConns is the share of backends.
-func (c *Config) BackendConns() int { return c.Sockets * 3 / 8 }
+func (c *Config) BackendConns(processes int) int { return c.part(processes, 3) }
+
+func (c *Config) part(processes, eighths int) int {
+	if c.Sockets == 0 {
+		return 0
+	}
+	if c.Calls == "" {
+		return c.Sockets * eighths / 8
+	}
+	return max(1, (c.Sockets/processes-callsRoom)*eighths/7)
+}
+
+// HeapLimit is the collector's bound in bytes under a limit on memory: the program itself counts too, once for each process.
+func HeapLimit(memoryMB, processes int) int64 {
+	return int64(memoryMB) << 20 * 5 / 8 / int64(processes)
+}
 
 // OpenRequests is how many requests may be open, for the module to keep some of that free: what the settings
 // allow, and no more than clients can hold, to whom a third of the descriptors goes for requests, each on a
@@ -61,8 +82,8 @@
 // Parse reads a configuration. An error names the key.
 func Parse(raw []byte) (*Config, error) {
 	var f struct {
-		Name, Listen, Discovery, Seed string
-		Limits                        struct {
+		Name, Listen, Discovery, Operator, Seed string
+		Limits                                  struct {
 			MemoryMB float64 `json:"memory_mb"`
 			Sockets  int
 		}
@@ -73,12 +94,17 @@
 		return nil, err
 	}
 	c := &Config{Name: or(f.Name, "GW_NAME"), Listen: or(f.Listen, "GW_LISTEN"),
-		Discovery: or(f.Discovery, "GW_DISCOVERY"), MemoryMB: int(f.Limits.MemoryMB), Sockets: f.Limits.Sockets}
+		Discovery: or(f.Discovery, "GW_DISCOVERY"), Calls: or(f.Operator, "GW_OPERATOR"), Scratch: os.Getenv("TMPDIR"), MemoryMB: int(f.Limits.MemoryMB), Sockets: f.Limits.Sockets}
 	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
 		if err := discovery.CheckAddr(a.addr); err != nil {
 			return nil, fmt.Errorf("%s: %w", a.name, err)
 		}
 	}
+	if c.Calls != "" {
+		if err := discovery.CheckAddr(c.Calls); err != nil {
+			return nil, fmt.Errorf("operator: %w", err)
+		}
+	}
 	var err error
 	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("seed: %w", err)
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -24,11 +24,11 @@
 // the one that has been without an open request for longest.
 type Listener struct {
 	net.Listener
-	limit   int           // 0: no limit
 	RestFor time.Duration // how long a connection must have been idle before it may be closed
 	MuteFor time.Duration // the same, for one that has never said a word
 
 	mu    sync.Mutex
+	limit int // 0: no limit
 	open  int
 	idle  *list.List    // of *Conn without an open request, the longest idle first
 	left  chan struct{} // holds one when a connection has ended
@@ -127,6 +127,49 @@
 	return 0, true
 }
 
+// SetLimit bounds what is given out from now on; 0: no bound.
+func (l *Listener) SetLimit(limit int) {
+	l.mu.Lock()
+	l.limit = limit
+	l.mu.Unlock()
+	select {
+	case l.left <- struct{}{}: // a wait for room looks again
+	default:
+	}
+}
+
+// Limit is how many it gives out; 0: no bound.
+func (l *Listener) Limit() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.limit
+}
+
+// CloseQuiet closes the connections that have rested for so long, but for those where bytes have come that are not read yet,
+// and returns how many are open after that.
+func (l *Listener) CloseQuiet(rested time.Duration) (open int) {
+	now := time.Now()
+	var quiet []*Conn
+	l.mu.Lock()
+	for e, next := l.idle.Front(), (*list.Element)(nil); e != nil; e = next {
+		next = e.Next()
+		if c := e.Value.(*Conn); now.Sub(c.since) < rested {
+			break // the others have rested for less
+		} else {
+			quiet = append(quiet, c)
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range quiet {
+		if still, _ := sock.Look(c.Conn); still { // bytes and the client's own end are read by who serves it
+			c.Close()
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open
+}
+
 // Close ends the listener, and a wait for room.
 func (l *Listener) Close() error {
 	l.once.Do(func() { close(l.ended) })
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -35,21 +35,23 @@
 // Loop is the one goroutine that owns the Balancer. What happens comes to it through post; it never
 // waits for I/O.
 type Loop struct {
-	clock Clock
-	s     saltmast.Settings
-	bal   Decider
-	up    Upstream
-	lists Lists
-	log   *slog.Logger
-	admit func() (time.Duration, bool)
-	in    chan any
-	done  chan struct{} // closed when Run returns
-	ready chan struct{} // closed after the first step
+	clock  Clock
+	s      saltmast.Settings
+	bal    Decider
+	up     Upstream
+	lists  Lists
+	log    *slog.Logger
+	admit  func() (time.Duration, bool)
+	in     chan any
+	urgent chan told     // operators' events: they pass what waits in in
+	done   chan struct{} // closed when Run returns
+	ready  chan struct{} // closed after the first step
 
 	work    *work.Pool // of attempts
 	ctx     context.Context
 	last    time.Duration // time of the last step
 	pending []saltmast.Event
+	heard   []chan struct{} // closed after the next step
 	timers  timers
 	seq     int // of timers
 	open    map[string]*Request
@@ -168,6 +170,10 @@
 	}
 	drain struct{}
 	move  struct{ addr string }
+	told  struct {
+		event saltmast.Event
+		done  chan struct{}
+	}
 )
 
 // Options are what a loop is made of.
@@ -177,8 +183,9 @@
 	Seed         uint64
 	Clock        Clock
 	Log          *slog.Logger
-	Known        saltmast.List // the list as last known
-	Decider      Decider       // nil: the decision module
+	Known        saltmast.List    // the list as last known
+	First        []saltmast.Event // what else the module hears in its first step
+	Decider      Decider          // nil: the decision module
 
 	// Admit tells, for a request that must be recorded, whether that can be done now, and else when to come back; it must not
 	// block. nil: it can.
@@ -196,9 +203,9 @@
 		}
 		o.Decider = bal
 	}
-	return &Loop{admit: o.Admit, clock: o.Clock, s: o.Settings, bal: o.Decider, log: o.Log, in: make(chan any, 1024), work: work.New(), done: make(chan struct{}),
+	return &Loop{admit: o.Admit, clock: o.Clock, s: o.Settings, bal: o.Decider, log: o.Log, in: make(chan any, 1024), urgent: make(chan told), work: work.New(), done: make(chan struct{}),
 		ready: make(chan struct{}), open: map[string]*Request{}, last: o.Clock.Now() - o.Settings.Tick,
-		pending: []saltmast.Event{o.Known}}, nil
+		pending: append([]saltmast.Event{o.Known}, o.First...)}, nil
 }
 
 // Connect gives a loop what carries out its actions.
@@ -225,6 +232,25 @@
 // Done is closed when the loop has ended.
 func (l *Loop) Done() <-chan struct{} { return l.done }
 
+// Tell hands the module an event ahead of all that waits, and returns once the module has taken it; false: ctx ended before.
+func (l *Loop) Tell(ctx context.Context, e saltmast.Event) bool {
+	m := told{event: e, done: make(chan struct{})}
+	select {
+	case l.urgent <- m:
+	case <-l.done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-m.done:
+	case <-l.done:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // post hands something to the loop; once that has ended it comes to nothing.
 func (l *Loop) post(m any) {
 	select {
@@ -258,10 +284,17 @@
 		case <-ctx.Done():
 			return
 		case <-wake.C:
+		case m := <-l.urgent:
+			l.hear(m)
 		case m := <-l.in:
 			l.take(m)
 		}
 		for more := true; more; {
+			select {
+			case m := <-l.urgent:
+				l.hear(m)
+			default:
+			}
 			select {
 			case m := <-l.in:
 				l.take(m)
@@ -281,6 +314,12 @@
 	l.work.Close()
 }
 
+// hear notes an operators' event.
+func (l *Loop) hear(m told) {
+	l.pending = append(l.pending, m.event)
+	l.heard = append(l.heard, m.done)
+}
+
 // take notes what happened; the module hears of it in the next step.
 func (l *Loop) take(m any) {
 	switch m := m.(type) {
@@ -439,6 +478,10 @@
 	for _, a := range l.decide(now, events) {
 		l.perform(now, a)
 	}
+	for _, c := range l.heard {
+		close(c)
+	}
+	l.heard = nil
 	select {
 	case <-l.ready:
 	default:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -107,7 +107,7 @@
 	}
 	debug.SetGCPercent(150) // a small heap: it may well double, and stays far below the limit
 	if c.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 5 / 8) // the program itself counts too
+		debug.SetMemoryLimit(config.HeapLimit(c.MemoryMB, 1))
 	}
 	log := slog.New(agent.Sparing(slog.NewTextHandler(os.Stderr, nil))).With("agent", c.Name)
 	a, err := agent.New(c, log)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -82,18 +82,21 @@
 // Members is the list as last told, shared with the attempts: these look at it right before their
 // first byte, so that a change counts from the moment it is read, not from the module's next step.
 type Members struct {
-	mu sync.RWMutex
-	m  map[string]Server
+	mu   sync.RWMutex
+	m    map[string]Server
+	news uint64          // listings applied
+	out  map[string]bool // taken out of service by operators, listed or not
 }
 
 // NewMembers returns an empty list.
-func NewMembers() *Members { return &Members{m: map[string]Server{}} }
+func NewMembers() *Members { return &Members{m: map[string]Server{}, out: map[string]bool{}} }
 
 // Apply takes a listing and returns the backends whose idle connections are of no more use: they
 // drain, are gone, moved or were started again.
 func (t *Members) Apply(l Listing) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.news++
 	var stale []string
 	listed := map[string]bool{}
 	for _, s := range l.Servers {
@@ -124,15 +127,51 @@
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	s, ok := t.m[id]
-	return s.Addr, ok && s.State == "SERVING"
+	return s.Addr, ok && s.State == "SERVING" && !t.out[id]
+}
+
+// Withdraw takes a backend out of service, whatever the list says of it until it is put back.
+func (t *Members) Withdraw(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.out[id] = true
+}
+
+// Restore puts a backend back.
+func (t *Members) Restore(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.out, id)
+}
+
+// Known reports whether a backend is listed, in whatever state.
+func (t *Members) Known(id string) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	_, ok := t.m[id]
+	return ok
+}
+
+// Empty reports whether no backend is listed.
+func (t *Members) Empty() bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return len(t.m) == 0
+}
+
+// News is how many listings have been applied.
+func (t *Members) News() uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.news
 }
 
 // Any tells whether some backend may get new work.
 func (t *Members) Any() bool {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	for _, s := range t.m {
-		if s.State == "SERVING" {
+	for id, s := range t.m {
+		if s.State == "SERVING" && !t.out[id] {
 			return true
 		}
 	}
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/url"
 	"slices"
@@ -45,7 +46,8 @@
 	settings saltmast.Settings
 	names    []string
 	record   Record
-	draining atomic.Bool
+	draining atomic.Bool // it stops
+	drained  atomic.Bool // operators have drained it
 }
 
 const (
@@ -92,17 +94,38 @@
 // Drain tells clients, by closing each connection with its answer, that the agent stops soon.
 func (f *Front) Drain() { f.draining.Store(true) }
 
-// Stop takes no more connections and waits for what is under way, until ctx ends. Then all connections are closed.
+// SetDrained has the agent say no to whoever asks for its health, and close each connection with its answer; or end that.
+func (f *Front) SetDrained(drained bool) { f.drained.Store(drained) }
+
+// leaving reports whether clients are to go.
+func (f *Front) leaving() bool { return f.draining.Load() || f.drained.Load() }
+
+// stopStep is how often a stop looks for connections that rest.
+const stopStep = 20 * time.Millisecond
+
+// Stop takes no more connections and waits for what is under way, until ctx ends. Then all connections are closed. One that
+// rests closes only after a look whether a request has come there: http.Server.Shutdown does not look, and resets it.
 func (f *Front) Stop(ctx context.Context) error {
-	if err := f.Server.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+	f.draining.Store(true)
+	if err := f.conns.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("stopping: %w", err)
 	}
+	tick := time.NewTicker(stopStep)
+	defer tick.Stop()
+	for f.conns.CloseQuiet(0) > 0 {
+		select {
+		case <-tick.C:
+			continue
+		case <-ctx.Done():
+		}
+		break
+	}
 	return f.Server.Close()
 }
 
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if f.draining.Load() {
+	if f.leaving() {
 		w.Header().Set("Connection", "close") // it stops soon; the client's next goes to a new process
 	}
 	if r.URL.Path == "/healthz" {
@@ -140,7 +163,7 @@
 	f.loop.Submit(req)
 	select {
 	case a := <-req.Answer():
-		if f.conns.Crowded() {
+		if f.conns.Crowded() || f.leaving() {
 			w.Header().Set("Connection", "close")
 		}
 		write(w, a)
@@ -154,7 +177,7 @@
 func (f *Front) health(w http.ResponseWriter) {
 	select {
 	case <-f.loop.Ready():
-		if !f.draining.Load() && f.serving() {
+		if !f.leaving() && f.serving() {
 			io.WriteString(w, "ok\n")
 			return
 		}
--- a/internal/front/thrift/front.go
+++ b/internal/front/thrift/front.go
@@ -81,7 +81,8 @@
 // Front serves Thrift callers.
 type Front struct {
 	o        Options
-	draining atomic.Bool
+	draining atomic.Bool // it stops
+	drained  atomic.Bool // operators have drained it
 	running  sync.WaitGroup
 	foreign  sync.Once // bytes of another protocol are logged once
 	refused  atomic.Int64
@@ -132,6 +133,9 @@
 // Drain has each connection closed once it has no open call.
 func (f *Front) Drain() { f.draining.Store(true) }
 
+// SetDrained has each connection close with its answers, or ends that.
+func (f *Front) SetDrained(drained bool) { f.drained.Store(drained) }
+
 // Refused is how many oneway calls were refused or failed: their callers hear nothing of it.
 func (f *Front) Refused() int64 { return f.refused.Load() }
 
@@ -304,7 +308,7 @@
 		return
 	}
 	c.f.o.Conns.Rest(c.Conn)
-	if c.f.draining.Load() || c.f.o.Conns.Crowded() {
+	if c.f.draining.Load() || c.f.drained.Load() || c.f.o.Conns.Crowded() {
 		c.ends = true
 	}
 	if c.ends {
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -77,6 +77,10 @@
 	if c == nil {
 		return res, reply{at: time.Now(), err: err}
 	}
+	if _, ok := b.table.Serving(backend); !ok { // it was taken out or began to drain during the dial
+		b.pool.release(c)
+		return saltmast.ConnectFailed, reply{at: time.Now()}
+	}
 	if b.Ping != "" {
 		return b.exchange(ctx, c, "", newProbeThrift(b.Ping, b.Protocol), cut)
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -91,6 +91,15 @@
 	return &conn{Conn: nc, group: g}, nil
 }
 
+// setLimit sets the limit. Idle connections beyond it close; those in use close when more are wanted.
+func (p *pool) setLimit(limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = limit
+	for limit > 0 && p.open > limit && p.evict() {
+	}
+}
+
 // evict closes the connection that has been idle for longest. The caller holds p.mu.
 func (p *pool) evict() bool {
 	var oldest *conn
@@ -114,7 +123,7 @@
 	if c.closed {
 		return
 	}
-	if c.group.retired {
+	if c.group.retired || p.limit > 0 && p.open > p.limit {
 		p.drop(c)
 		return
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -73,6 +73,9 @@
 // Retire ends the use of all connections to a backend that drains, is gone or was started again.
 func (b *Backends) Retire(backend string) { b.pool.retire(backend) }
 
+// SetLimit bounds the connections that are open from now on; 0: no bound. Beyond it idle ones close.
+func (b *Backends) SetLimit(connections int) { b.pool.setLimit(connections) }
+
 // CloseIdle closes the idle connections to a backend.
 func (b *Backends) CloseIdle(backend string) { b.pool.closeIdle(backend) }
 
--- a/saltmast.go
+++ b/saltmast.go
@@ -78,7 +78,7 @@
 		return nil, err
 	}
 	b := &Balancer{s: s, rng: rand.New(rand.NewPCG(seed, 0)), tokens: bucketCap, vary: 1,
-		base: aimedDelay / aimedRise, perBack: floorPerBack, byID: map[string]*backend{},
+		base: aimedDelay / aimedRise, perBack: floorPerBack, byID: map[string]*backend{}, withdrawn: map[string]bool{},
 		requests: map[string]*request{}, timers: map[int64]*request{}, lines: map[string]*line{}}
 	b.s.MaxAttempts = max(1, s.MaxAttempts)
 	if s.ColdShare == 0 {
@@ -109,6 +109,9 @@
 		case List:
 			b.onList(e)
 			b.measure()
+		case Maintenance:
+			b.onMaintenance(e)
+			b.measure()
 		case StreamStarted:
 			if r := b.requests[e.Request]; r != nil && !r.ended {
 				r.stream = true
@@ -303,7 +306,7 @@
 		need := min(holdMargin*b.expected(r), holdAtMost*float64(b.classes[r.class].Aim))
 		give := min(r.aim, r.deadline) - time.Duration(need)
 		r.passed = false
-		if r.repeat || give <= b.now {
+		if r.repeat || give <= b.now || b.up == 0 && len(b.withdrawn) > 0 { // staff put none back within an aim
 			b.unhold(r)
 			b.giveUp(r)
 		} else if r.timer == 0 {
@@ -376,7 +379,7 @@
 func (b *Balancer) pick(r *request) *backend {
 	mean, seen := 0.0, 0
 	for _, t := range b.backends {
-		if t.State == Up && t.seen {
+		if t.isUp() && t.seen {
 			mean += b.load(t)
 			seen++
 		}
@@ -392,7 +395,7 @@
 	firstIdle, firstFresh, least, mild, links := far, far, far, far, 0
 	for _, t := range b.backends {
 		load := b.load(t)
-		if t.State != Up || !b.mayRepeat(r, t) || t == r.failed && b.up > 1 || b.now < t.fullTill ||
+		if !t.isUp() || !b.mayRepeat(r, t) || t == r.failed && b.up > 1 || b.now < t.fullTill ||
 			load >= most || !b.coldRoom(t, r) {
 			continue
 		}
@@ -405,6 +408,9 @@
 		if !t.seen {
 			load = mean // a new one gets no rush
 		}
+		if t.back && load < 1 {
+			return t
+		}
 		slow := b.slowness(t)
 		linked := b.isLinked(t) || t.joined && load < 1
 		if linked {
@@ -474,7 +480,7 @@
 func (b *Balancer) setPart() float64 {
 	links := 0.0
 	for _, t := range b.backends {
-		if t.State == Up && b.isLinked(t) {
+		if t.isUp() && b.isLinked(t) {
 			links++
 		}
 	}
@@ -560,7 +566,7 @@
 	at := b.now + wait
 	possible := false
 	for _, t := range b.backends {
-		possible = possible || t.State == Up && b.mayRepeat(r, t)
+		possible = possible || t.isUp() && b.mayRepeat(r, t)
 	}
 	if !possible || b.tokens < cost || at >= r.deadline || res == NotSent {
 		b.giveUp(r)
@@ -674,7 +680,7 @@
 	if e.Result == OK || e.Result == Errored {
 		t.heard = max(t.heard, a.sent)
 	}
-	t.linked, t.usedAt, t.joined = e.Result == OK || e.Result == Errored, b.now, false
+	t.linked, t.usedAt, t.joined, t.back = e.Result == OK || e.Result == Errored, b.now, false, false
 	switch e.Result {
 	case OK:
 		// It came back before the list told: treat it as just started. One failure is no proof that it was
@@ -749,7 +755,7 @@
 func (b *Balancer) maySpare() bool {
 	out := 0.0
 	for _, t := range b.backends {
-		if t.State == Up && b.now < t.ejected {
+		if t.isUp() && b.now < t.ejected {
 			out++
 		}
 	}
@@ -932,13 +938,13 @@
 func (b *Balancer) measure() {
 	b.up, b.warm, b.capacity, b.stuck = 0, 0, 0, 0
 	for _, t := range b.backends {
-		if t.State == Up {
+		if t.isUp() {
 			b.up++
 			if !t.cold {
 				b.warm++
 			}
 		}
-		usable := t.State == Up && !t.down && b.now >= t.ejected && !b.silent(t)
+		usable := t.isUp() && !t.down && b.now >= t.ejected && !b.silent(t)
 		if usable {
 			b.capacity += b.warmth(t)
 		}
@@ -962,7 +968,9 @@
 	cost := b.expected(r)
 	mean := b.classes[r.class].latency
 	rate := b.decayed() / float64(b.s.FallWindow+1) / float64(max(b.warm, 1))
-	if b.warm == 0 { // no warm one to go by: its part of the least limit, or nothing would ever go out
+	// No warm one to go by, or put back by operators, who look for its use: its part of the least limit. Else
+	// nothing would ever go out, or a quiet agent's first request there would come long after.
+	if b.warm == 0 || t.back {
 		rate = max(rate, floorPerBack/float64(b.s.Balancers))
 	}
 	share := w * math.Sqrt(max(1, b.s.FallMultiple))
@@ -1007,7 +1015,7 @@
 			continue
 		}
 		if t == nil {
-			t = &backend{Backend: n, hash: hash(n.ID), shuns: make([]shun, len(b.classes))}
+			t = &backend{Backend: n, hash: hash(n.ID), shuns: make([]shun, len(b.classes)), withdrawn: b.withdrawn[n.ID]}
 			b.byID[n.ID] = t
 			b.backends = append(b.backends, t)
 			if n.Started > 0 {
@@ -1019,7 +1027,7 @@
 		if n.Started > t.Started {
 			b.start(t, max(n.Started, t.warmFrom))
 			t.strikes, t.ejected, t.down = 0, 0, false
-			t.joined = b.rng.Float64() < part
+			t.joined = t.back || b.rng.Float64() < part
 		}
 		t.Backend = n
 	}
@@ -1031,6 +1039,26 @@
 	b.forgetGone()
 }
 
+// onMaintenance takes a backend out of service, whatever the list says until it is put back. Then it counts as started
+// at that time: it was restarted while it was out, which the list tells late. What it was blamed for is over.
+func (b *Balancer) onMaintenance(e Maintenance) {
+	t := b.byID[e.Backend]
+	if e.Out {
+		b.withdrawn[e.Backend] = true
+	} else {
+		delete(b.withdrawn, e.Backend)
+	}
+	if t == nil {
+		return
+	}
+	t.withdrawn, t.back = e.Out, false
+	if !e.Out {
+		b.start(t, max(e.Since, t.warmFrom))
+		t.strikes, t.ejected, t.down, t.fails, t.fullTill, t.joined, t.back = 0, 0, false, 0, 0, true, true
+		clear(t.shuns)
+	}
+}
+
 // askUnit is the span over which calls of the list are spread at the least. The list is one service for all
 // and does not grow with the fleet: beyond askFleet agents the span grows with their number, so that all
 // together call no more often. Guards against a storm of calls that all fail because all call: in the model
@@ -1043,7 +1071,7 @@
 
 // send starts an attempt. Nothing else does; the rules are checked here last.
 func (b *Balancer) send(r *request, t *backend) {
-	if t.State != Up || !b.mayRepeat(r, t) || !b.inTurn(r) || b.now >= r.deadline {
+	if !t.isUp() || !b.mayRepeat(r, t) || !b.inTurn(r) || b.now >= r.deadline {
 		b.finish(r)
 		return
 	}
--- a/state.go
+++ b/state.go
@@ -15,15 +15,16 @@
 	now     time.Duration
 	actions []Action
 
-	backends []*backend // in the order in which they were first listed
-	byID     map[string]*backend
-	requests map[string]*request
-	taken    int              // requests that have no final answer yet
-	held     []*request       // waiting for room, oldest first
-	lines    map[string]*line // of ordered requests, by key
-	resting  []*line          // lines whose key rests or has rested, in the order of its end
-	timers   map[int64]*request
-	token    int64 // last timer token given out
+	backends  []*backend // in the order in which they were first listed
+	byID      map[string]*backend
+	withdrawn map[string]bool // backends that operators have taken out, listed or not
+	requests  map[string]*request
+	taken     int              // requests that have no final answer yet
+	held      []*request       // waiting for room, oldest first
+	lines     map[string]*line // of ordered requests, by key
+	resting   []*line          // lines whose key rests or has rested, in the order of its end
+	timers    map[int64]*request
+	token     int64 // last timer token given out
 
 	tokens   float64 // the retry bucket
 	classes  []classState
@@ -81,10 +82,12 @@
 	linked   bool          // in the working set: connected as far as can be told, and not turning work away
 	usedAt   time.Duration // when that was last used
 	joined   bool          // drawn into the working set when it joined, and not tried yet
-	warmFrom time.Duration // when its latest start became known or seen
-	cold     bool
-	budget   float64 // work that may be sent while it is cold
-	budgetAt time.Duration
+	// withdrawn: operators have taken it out of service. back: they have put it back, and it was not tried since.
+	withdrawn, back bool
+	warmFrom        time.Duration // when its latest start became known or seen
+	cold            bool
+	budget          float64 // work that may be sent while it is cold
+	budgetAt        time.Duration
 }
 
 // line is the order of a key: the requests taken for it that are not over, oldest first.
@@ -133,6 +136,9 @@
 	fails float64 // in a row
 }
 
+// isUp reports whether t may get work: by the list, and by the operators.
+func (t *backend) isUp() bool { return t.State == Up && !t.withdrawn }
+
 // forgetGone forgets the backends that are gone, once none of their attempts is out. Guards against a
 // fleet that is replaced all day under new ids: each one would be kept, and walked in every step.
 func (b *Balancer) forgetGone() {
