--- a/api.go
+++ b/api.go
@@ -83,27 +83,28 @@
 	FieldErrors
 )
 
-// Settings are fixed for the life of a Balancer. The zero value of a field that
+// Settings are what an agent is told. The zero value of a field that
 // may be absent means what its comment says; the zero value of a price, a goal or
 // a span switches off what rests on it. The interface
 // carries all that agents are told, whether or not the present module acts on it.
 type Settings struct {
-	Balancers int // agents that share these backends, this one included; at least 1
-	Self      int // this agent's number, from 0
-	Zone      int // this agent's zone
-	Zones     int // number of zones; 0: not told
-	Kinds     int // number of machine kinds; 0: not told
-	Tier      int // the tier of backends that this agent sends to, from 0 ...
-	Tiers     int // ... of so many; 0: not told
-	Classes   []Class
-	Tenants   []Tenant      // none: requests belong to no tenant
-	ByWork    bool          // worth counts per unit of work, not per request
-	Subscribe bool          // the list must be asked for; else it is told unasked
-	Tick      time.Duration // shortest gap between two steps; 0: none
-	WarmKeys  bool          // a backend that lately served a key serves it again with less work
-	Weights   Weights
-	Reports   Reports
-	Fields    Fields // what the reports hold
+	Generation uint64 // tells these settings from others; see Retune
+	Balancers  int    // agents that share these backends, this one included; at least 1
+	Self       int    // this agent's number, from 0
+	Zone       int    // this agent's zone
+	Zones      int    // number of zones; 0: not told
+	Kinds      int    // number of machine kinds; 0: not told
+	Tier       int    // the tier of backends that this agent sends to, from 0 ...
+	Tiers      int    // ... of so many; 0: not told
+	Classes    []Class
+	Tenants    []Tenant      // none: requests belong to no tenant
+	ByWork     bool          // worth counts per unit of work, not per request
+	Subscribe  bool          // the list must be asked for; else it is told unasked
+	Tick       time.Duration // shortest gap between two steps; 0: none
+	WarmKeys   bool          // a backend that lately served a key serves it again with less work
+	Weights    Weights
+	Reports    Reports
+	Fields     Fields // what the reports hold
 	// MarksRetry: clients mark their repeats (Request.Repeat). PassesDeadline: a backend that calls
 	// a further tier passes on the time its own request has left.
 	MarksRetry, PassesDeadline bool
@@ -191,14 +192,15 @@
 	}
 	// Request is a client's request. The balancer owes it one final answer.
 	Request struct {
-		ID     string
-		Class  int
-		Left   time.Duration // until this client stops waiting
-		Work   time.Duration // expected work; 0: unknown
-		Repeat bool          // the client says that it tries again
-		Key    string        // what the request is about; "": nothing told
-		Tenant int           // whose it is, by Settings.Tenants
-		Write  bool          // it writes
+		ID         string
+		Class      int // by number in the settings of Generation, whose rules it keeps
+		Generation uint64
+		Left       time.Duration // until this client stops waiting
+		Work       time.Duration // expected work; 0: unknown
+		Repeat     bool          // the client says that it tries again
+		Key        string        // what the request is about; "": nothing told
+		Tenant     int           // whose it is, by Settings.Tenants
+		Write      bool          // it writes
 	}
 	// Outcome ends one attempt. The agent passes on exactly one for each Send.
 	Outcome struct {
@@ -217,6 +219,12 @@
 		Out     bool
 		Since   time.Duration
 	}
+	// Retune brings other settings, of another Generation, for the requests of that one. What makes no sense is not
+	// taken. From tells, by class, the number of the class of the settings in force that it continues; -1: none.
+	Retune struct {
+		Settings Settings
+		From     []int
+	}
 	// StreamStarted says that the answer of an attempt has begun to reach the client.
 	StreamStarted struct {
 		Request string
@@ -320,6 +328,7 @@
 func (Request) event()       {}
 func (Outcome) event()       {}
 func (Maintenance) event()   {}
+func (Retune) event()        {}
 func (StreamStarted) event() {}
 func (Abandoned) event()     {}
 func (ProbeResult) event()   {}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -8,7 +8,8 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"saltmast"
@@ -46,7 +47,16 @@
 	ups     []*upstream.Backends
 	follow  func(context.Context) // keeps a list that is pushed; nil: the module asks for it
 
-	config   *config.Config
+	tuning      sync.Mutex     // orders reloads, and what shares out the limits
+	config      *config.Config // as last read
+	generation  uint64         // of its settings
+	processes   int            // of this agent that live
+	zones       atomic.Pointer[func(discovery.Listing, saltmast.ListKind) saltmast.List]
+	kinds       atomic.Pointer[[]string]
+	renumber    func(saltmast.Event) // tells the modules a list
+	clock       core.Clock
+	thriftFront *thriftfront.Front // nil: off
+
 	service  *service     // nil: no second address
 	listener net.Listener // the clients' own
 
@@ -78,20 +88,21 @@
 	clock := core.NewClock()
 	known := c.Known
 	known.Full = true
-	event := discovery.Lister(c.Names.Zones, c.Names.Kinds, clock.FromUnixMs)
 	table := discovery.NewMembers()
 	table.Apply(known)
+	a := &Agent{table: table, log: log, acceptFor: acceptFor, config: c, processes: 1, clock: clock}
+	a.nameZones(c)
+	event := func(l discovery.Listing, kind saltmast.ListKind) saltmast.List { return (*a.zones.Load())(l, kind) }
 	first := event(known, saltmast.ListCached)
-	a := &Agent{table: table, log: log, acceptFor: acceptFor, config: c}
 	share := 1 // of the descriptors and open requests, for each protocol
 	var t *config.Thrift
 	if c.Operator != nil && c.Operator.Thrift != nil {
 		t, share = c.Operator.Thrift, 2
 	}
 	ofThrift := func(b saltmast.Backend) bool {
-		kind := ""
-		if b.Kind >= 0 && b.Kind < len(c.Names.Kinds) {
-			kind = c.Names.Kinds[b.Kind]
+		kind, kinds := "", *a.kinds.Load()
+		if b.Kind >= 0 && b.Kind < len(kinds) {
+			kind = kinds[b.Kind]
 		}
 		return t != nil && t.Serves(b.ID, kind)
 	}
@@ -113,9 +124,7 @@
 	up := upstream.New(c.Settings, table, c.BackendConns(1)/share, log)
 	a.ups = append(a.ups, up)
 	var err error
-	var record []bool // by class
 	if c.Operator != nil && c.Operator.Settles != nil {
-		record = c.Operator.Settles.Records(c.Names.Classes, c.Settings.Classes)
 		if err := a.openJournal(c.Operator.Settles, h.folder(c.Operator.Settles.Dir)); err != nil {
 			return nil, err
 		}
@@ -133,11 +142,12 @@
 	}
 	a.loops = append(a.loops, a.loop)
 	options := discovery.Options{Addr: c.Discovery, Known: known, Table: table, Stale: up.Retire, Post: a.loop.Post, Event: event, Log: log}
+	a.renumber = a.loop.Post
 	if t == nil {
 		list := discovery.New(options)
 		a.keep(c.Settings, list)
 		a.loop.Connect(up, list)
-	} else if err := a.addThrift(c, t, options, first, clock, up, decide, record, ofHTTP, ofThrift); err != nil {
+	} else if err := a.addThrift(c, t, options, first, clock, up, decide, ofHTTP, ofThrift); err != nil {
 		return nil, err
 	}
 	listen := func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
@@ -153,8 +163,7 @@
 	}
 	a.listener = listener
 	a.conns = conns.New(listener, c.ClientConns(1)/share)
-	a.front = http.New(http.Options{Settings: c.Settings, Classes: c.Names.Classes, Tenants: c.Names.Tenants, Loop: a.loop,
-		Conns: a.conns, Serving: table.Any, Log: log, Record: recordOf(c.Operator, record)})
+	a.front = http.New(http.Options{Terms: httpTerms(c, c.Rules(0)), Loop: a.loop, Conns: a.conns, Serving: table.Any, Log: log})
 	a.fronts = append(a.fronts, a.front)
 	return a, nil
 }
@@ -162,7 +171,7 @@
 // addThrift adds the front for Thrift callers, with a loop, a module and connections of its own for the servers that
 // speak it. Both loops follow one list.
 func (a *Agent) addThrift(c *config.Config, t *config.Thrift, o discovery.Options, first saltmast.List, clock core.Clock,
-	up *upstream.Backends, decide core.Decider, record []bool, ofHTTP, ofThrift func(saltmast.Backend) bool) error {
+	up *upstream.Backends, decide core.Decider, ofHTTP, ofThrift func(saltmast.Backend) bool) error {
 	to := thrift.Binary
 	if t.Protocol == "compact" {
 		to = thrift.Compact
@@ -182,35 +191,22 @@
 	}
 	a.ups = append(a.ups, upThrift)
 	shared := discovery.NewShared(first)
-	o.Post = shared.Post
+	o.Post, a.renumber = shared.Post, shared.Post
 	o.Stale = func(backend string) { up.Retire(backend); upThrift.Retire(backend) }
 	list := discovery.New(o)
 	a.keep(s, list)
 	shared.Drive(list)
 	a.loop.Connect(up, shared.Follow(ofHTTP, a.loop.Post))
 	loop.Connect(upThrift, shared.Follow(ofThrift, loop.Post))
-	methods := map[string]*thriftfront.Method{}
-	for _, m := range t.Methods {
-		path := func(text string) []int16 { // checked when the file was read
-			ids, _ := config.FieldPath(text)
-			return ids
-		}
-		class := slices.Index(c.Names.Classes, m.Class)
-		name := "" // under which it is recorded
-		if class < len(record) && record[class] {
-			name = m.Class
-		}
-		methods[m.Name] = &thriftfront.Method{Class: class, Record: name, Account: path(m.Account), ID: path(m.ID), Key: path(m.Key),
-			Budget: path(m.Budget), Tenant: path(m.Tenant), Route: path(m.Route), Oneway: m.Oneway}
-	}
 	listener, err := net.Listen("tcp", t.Listen)
 	if err != nil {
 		return fmt.Errorf("thrift: listen: %w", err)
 	}
 	a.thrift = conns.New(listener, c.ClientConns(1)/2)
 	a.loops = append(a.loops, loop)
-	a.fronts = append(a.fronts, thriftfront.New(thriftfront.Options{Settings: s, Tenants: c.Names.Tenants, Methods: methods, Loop: loop,
-		Conns: a.thrift, To: to, Rejected: t.Rejected, Limits: thrift.Limits{Frame: t.FrameBytes}, Log: log}))
+	a.thriftFront = thriftfront.New(thriftfront.Options{Terms: thriftTerms(c, c.Rules(0)), Loop: loop,
+		Conns: a.thrift, To: to, Rejected: t.Rejected, Limits: thrift.Limits{Frame: t.FrameBytes}, Log: log})
+	a.fronts = append(a.fronts, a.thriftFront)
 	return nil
 }
 
@@ -233,13 +229,6 @@
 // Addr is where the agent listens.
 func (a *Agent) Addr() net.Addr { return a.conns.Addr() }
 
-// Reload takes over from a new configuration what may change while the agent runs: the address of
-// discovery. All else waits for the next start.
-func (a *Agent) Reload(c *config.Config) {
-	a.log.Info("configuration read again", "discovery", c.Discovery)
-	a.loop.Move(c.Discovery)
-}
-
 // told is what a new module hears of what operators said.
 func (a *Agent) told() []saltmast.Event {
 	if a.service == nil {
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -293,14 +293,22 @@
 
 // divide gives this process its part of what the agent may use, while so many processes are of it.
 func (a *Agent) divide(processes int) {
+	a.tuning.Lock()
+	defer a.tuning.Unlock()
+	a.processes = processes
+	a.share()
+}
+
+// share sets the limits. The caller holds a.tuning.
+func (a *Agent) share() {
 	for _, l := range a.clients() {
-		l.SetLimit(a.config.ClientConns(processes) / len(a.clients()))
+		l.SetLimit(a.config.ClientConns(a.processes) / len(a.clients()))
 	}
 	for _, up := range a.ups {
-		up.SetLimit(a.config.BackendConns(processes) / len(a.ups))
+		up.SetLimit(a.config.BackendConns(a.processes) / len(a.ups))
 	}
-	if a.config.MemoryMB > 0 {
-		debug.SetMemoryLimit(config.HeapLimit(a.config.MemoryMB, processes))
+	if a.config.MemoryMB > 0 && a.service != nil {
+		debug.SetMemoryLimit(config.HeapLimit(a.config.MemoryMB, a.processes))
 	}
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -27,6 +27,8 @@
 	Names     wire.Names
 	Operator  *Operator         // nil: no operator's file
 	Known     discovery.Listing // the backends as last known; may be old
+
+	raw map[string]any // as it was read
 }
 
 // An agent with a second address runs twice during an upgrade, both processes within one bound: each keeps some room for
@@ -123,6 +125,15 @@
 			return nil, fmt.Errorf("known: %w", err)
 		}
 	}
+	if c.raw, err = rawOf(raw); err != nil {
+		return nil, err
+	}
+	if err := c.checkRaw(); err != nil {
+		return nil, err
+	}
+	if err := c.Settings.Check(); err != nil {
+		return nil, err
+	}
 	return c, nil
 }
 
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -36,7 +36,7 @@
 // waits for I/O.
 type Loop struct {
 	clock  Clock
-	s      saltmast.Settings
+	s      *saltmast.Settings // in force; requests keep those that they arrived under
 	bal    Decider
 	up     Upstream
 	lists  Lists
@@ -84,6 +84,7 @@
 type Request struct {
 	Call
 	event    saltmast.Request
+	rules    *saltmast.Settings // that it arrived under
 	class    int
 	arrived  time.Duration
 	deadline time.Duration
@@ -96,10 +97,12 @@
 	net      *timer // the safety net, until it has ended
 }
 
-// NewRequest returns a request whose last byte came at arrived. event.Left says how long its client waits from then.
-func (l *Loop) NewRequest(event saltmast.Request, arrived time.Time, payload any) *Request {
+// NewRequest returns a request whose last byte came at arrived. It keeps rules, those that its front took it by, whatever
+// comes later. event.Left says how long its client waits from then.
+func (l *Loop) NewRequest(rules *saltmast.Settings, event saltmast.Request, arrived time.Time, payload any) *Request {
 	at := l.clock.At(arrived)
-	return &Request{Call: Call{ID: event.ID, Payload: payload}, event: event, class: event.Class, arrived: at,
+	event.Generation = rules.Generation
+	return &Request{Call: Call{ID: event.ID, Payload: payload}, event: event, rules: rules, class: event.Class, arrived: at,
 		deadline: at + event.Left, answer: make(chan Answer, 1)}
 }
 
@@ -172,6 +175,7 @@
 	move  struct{ addr string }
 	told  struct {
 		event saltmast.Event
+		rules *saltmast.Settings // with a Retune: the loop's own
 		done  chan struct{}
 	}
 )
@@ -203,7 +207,7 @@
 		}
 		o.Decider = bal
 	}
-	return &Loop{admit: o.Admit, clock: o.Clock, s: o.Settings, bal: o.Decider, log: o.Log, in: make(chan any, 1024), urgent: make(chan told), work: work.New(), done: make(chan struct{}),
+	return &Loop{admit: o.Admit, clock: o.Clock, s: &o.Settings, bal: o.Decider, log: o.Log, in: make(chan any, 1024), urgent: make(chan told), work: work.New(), done: make(chan struct{}),
 		ready: make(chan struct{}), open: map[string]*Request{}, last: o.Clock.Now() - o.Settings.Tick,
 		pending: append([]saltmast.Event{o.Known}, o.First...)}, nil
 }
@@ -234,7 +238,18 @@
 
 // Tell hands the module an event ahead of all that waits, and returns once the module has taken it; false: ctx ended before.
 func (l *Loop) Tell(ctx context.Context, e saltmast.Event) bool {
-	m := told{event: e, done: make(chan struct{})}
+	return l.tell(ctx, told{event: e, done: make(chan struct{})})
+}
+
+// Retune has other settings in force for the requests that are taken by them, and returns once the module has them; those
+// before go on. from tells for each class which one of the settings in force it continues; -1: none.
+func (l *Loop) Retune(ctx context.Context, rules *saltmast.Settings, from []int, openRequests int) bool {
+	settings := *rules
+	settings.MaxOpen = openRequests
+	return l.tell(ctx, told{event: saltmast.Retune{Settings: settings, From: from}, rules: rules, done: make(chan struct{})})
+}
+
+func (l *Loop) tell(ctx context.Context, m told) bool {
 	select {
 	case l.urgent <- m:
 	case <-l.done:
@@ -316,6 +331,9 @@
 
 // hear notes an operators' event.
 func (l *Loop) hear(m told) {
+	if m.rules != nil {
+		l.s = m.rules
+	}
 	l.pending = append(l.pending, m.event)
 	l.heard = append(l.heard, m.done)
 }
@@ -421,7 +439,7 @@
 	r := m.r
 	r.attempts[m.event.Attempt] = nil
 	r.out--
-	r.risky = r.risky || !m.event.Result.NeverRan() || l.s.FullNoProof && m.event.Result == saltmast.Full
+	r.risky = r.risky || !m.event.Result.NeverRan() || r.rules.FullNoProof && m.event.Result == saltmast.Full
 	if m.event.Result == saltmast.OK && !r.ended {
 		l.reply(r, Answer{Kind: Served, Payload: m.payload})
 	}
@@ -540,7 +558,7 @@
 		return
 	}
 	// Once an attempt may have run, a refusal would invite a repeat of its effect.
-	if c := l.s.Classes[r.class]; (r.risky || r.out > 0) && c.Effect != saltmast.Safe &&
+	if c := r.rules.Classes[r.class]; (r.risky || r.out > 0) && c.Effect != saltmast.Safe &&
 		!(c.Effect == saltmast.Keyed && c.Group == saltmast.GroupAll) {
 		l.log.Error("bug: refusal of a request that may have run", "id", a.Request)
 		l.reply(r, Answer{Kind: Failed})
@@ -568,7 +586,7 @@
 	if a.Timeout > 0 {
 		cut = min(cut, now+a.Timeout)
 	}
-	if r.ended || no >= max(1, l.s.MaxAttempts) || now >= cut {
+	if r.ended || no >= max(1, r.rules.MaxAttempts) || now >= cut {
 		l.finish(outcome{r: r, event: event})
 		return
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -85,6 +85,25 @@
 	return c, nil
 }
 
+// reread reads for a running agent what load reads for a new one. The operator's file counts as far as it names classes;
+// its addresses and folders wait for the next start.
+func reread(path, operator string, running *config.Config) (*config.Config, error) {
+	c, err := config.Reread(path, running)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	if operator == "" {
+		return c, nil
+	}
+	if c.Operator, err = config.LoadOperator(operator, c.Names.Classes, c.Settings.Classes); err != nil {
+		return nil, err
+	}
+	if old, now := running.Operator, c.Operator; (old.Thrift == nil) != (now.Thrift == nil) || (old.Settles == nil) != (now.Settles == nil) {
+		return nil, fmt.Errorf("%s: a section came or went, which waits for the next start", operator)
+	}
+	return c, nil
+}
+
 // Run serves as the file that GW_CONFIG names says, and the operator's file, if one is named, until SIGTERM or SIGINT, and finishes what was taken
 // within 3.2 s. It takes the process for itself: signals, the number of threads, the collector's bounds.
 func Run(operator string) error {
@@ -116,13 +135,15 @@
 	}
 	stop, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer release()
-	go func() {
+	go func() { // one after the other: of many signals the last finds the newest file
 		for range again {
-			if c, err := config.Load(path); err != nil {
+			n, err := reread(path, operator, c)
+			if err != nil {
 				log.Warn("the old configuration stays", "err", err)
-			} else {
-				a.Reload(c)
+				continue
 			}
+			a.Reload(n)
+			c = n
 		}
 	}()
 	log.Info("serving", "listen", a.Addr().String())
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -166,6 +167,17 @@
 	return t.news
 }
 
+// All is the list as it stands, in the order of ids.
+func (t *Members) All() Listing {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	l := Listing{Full: true}
+	for _, id := range slices.Sorted(maps.Keys(t.m)) {
+		l.Servers = append(l.Servers, t.m[id])
+	}
+	return l
+}
+
 // Any tells whether some backend may get new work.
 func (t *Members) Any() bool {
 	t.mu.RLock()
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -41,11 +41,7 @@
 	loop     *core.Loop
 	conns    *conns.Listener
 	serving  func() bool // whether some backend may get work
-	classes  map[string]int
-	tenants  []string
-	settings saltmast.Settings
-	names    []string
-	record   Record
+	terms    atomic.Pointer[terms]
 	draining atomic.Bool // it stops
 	drained  atomic.Bool // operators have drained it
 }
@@ -58,18 +54,28 @@
 	idleTime = conns.RestTime + 100*time.Millisecond
 )
 
-// Options are what a front is made of.
-type Options struct {
-	Settings saltmast.Settings
+// Terms are what requests are taken by. A request keeps those that it came under.
+type Terms struct {
+	Settings *saltmast.Settings
 	Classes  []string // their names, by number
 	Tenants  []string
-	Loop     *core.Loop
-	Conns    *conns.Listener
-	Serving  func() bool // whether some backend may get work: then it is ready
-	Log      *slog.Logger
 	Record   Record
 }
 
+type terms struct {
+	Terms
+	classes map[string]int
+}
+
+// Options are what a front is made of.
+type Options struct {
+	Terms
+	Loop    *core.Loop
+	Conns   *conns.Listener
+	Serving func() bool // whether some backend may get work: then it is ready
+	Log     *slog.Logger
+}
+
 // Record says which requests are recorded, and what by.
 type Record struct {
 	Classes []bool   // by number; nil: none
@@ -79,15 +85,22 @@
 
 // New returns a front that serves once Serve is called.
 func New(o Options) *Front {
-	f := &Front{loop: o.Loop, conns: o.Conns, serving: o.Serving, classes: map[string]int{}, tenants: o.Tenants, settings: o.Settings, names: o.Classes, record: o.Record}
-	for i, name := range o.Classes {
-		f.classes[name] = i
-	}
+	f := &Front{loop: o.Loop, conns: o.Conns, serving: o.Serving}
+	f.Retune(o.Terms)
 	f.Server = &http.Server{Handler: f, ReadHeaderTimeout: headTime, IdleTimeout: idleTime, ConnState: o.Conns.Note,
 		MaxHeaderBytes: 8 << 10, ErrorLog: slog.NewLogLogger(o.Log.Handler(), slog.LevelWarn)}
 	return f
 }
 
+// Retune has the requests to come taken by other terms, which the loop must know already.
+func (f *Front) Retune(t Terms) {
+	n := &terms{Terms: t, classes: map[string]int{}}
+	for i, name := range t.Classes {
+		n.classes[name] = i
+	}
+	f.terms.Store(n)
+}
+
 // Serve serves until Stop or Close, and returns why it ended.
 func (f *Front) Serve() error { return f.Server.Serve(f.conns) }
 
@@ -120,7 +133,10 @@
 		}
 		break
 	}
-	return f.Server.Close()
+	if err := f.Server.Close(); err != nil && !errors.Is(err, net.ErrClosed) { // it closes the listener once more
+		return fmt.Errorf("stopping: %w", err)
+	}
+	return nil
 }
 
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -138,7 +154,8 @@
 		turnAway(w, status, why)
 		return
 	}
-	event, status, why := f.parse(r)
+	terms := f.terms.Load()
+	event, status, why := terms.parse(r)
 	if status != 0 {
 		turnAway(w, status, why)
 		return
@@ -156,9 +173,9 @@
 		}
 		arrived = time.Now() // a request's time counts from its last byte
 	}
-	req := f.loop.NewRequest(event, arrived, q)
-	if c := event.Class; c < len(f.record.Classes) && f.record.Classes[c] {
-		req.Record = &core.Record{Class: f.names[c], Account: f.account(r, q.Body), Key: q.Key, Digest: sha256.Sum256(q.Body)}
+	req := f.loop.NewRequest(terms.Settings, event, arrived, q)
+	if c := event.Class; c < len(terms.Record.Classes) && terms.Record.Classes[c] {
+		req.Record = &core.Record{Class: terms.Classes[c], Account: terms.Record.account(r, q.Body), Key: q.Key, Digest: sha256.Sum256(q.Body)}
 	}
 	f.loop.Submit(req)
 	select {
@@ -216,13 +233,13 @@
 const maxKey = 255
 
 // parse reads a request's head. A status other than 0 says what is wrong with it.
-func (f *Front) parse(r *http.Request) (e saltmast.Request, status int, why string) {
+func (t *terms) parse(r *http.Request) (e saltmast.Request, status int, why string) {
 	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	class, ok := f.classes[name]
+	class, ok := t.classes[name]
 	if !ok {
 		return e, http.StatusNotFound, "unknown class"
 	}
-	effect := f.settings.Classes[class].Effect
+	effect := t.Settings.Classes[class].Effect
 	if want := method(effect); r.Method != want {
 		return e, http.StatusMethodNotAllowed, want + " wanted"
 	}
@@ -243,7 +260,7 @@
 	if e.Left = time.Duration(budget) * time.Millisecond; err != nil || e.Left <= 0 || e.Left > maxBudget {
 		return e, http.StatusBadRequest, "X-Budget-Ms: whole milliseconds wanted"
 	}
-	e.Left = min(e.Left, f.settings.Classes[class].Deadline) // no client of the class waits longer
+	e.Left = min(e.Left, t.Settings.Classes[class].Deadline) // no client of the class waits longer
 	// Backends know a repeat by its key alone: without one, a second attempt might run again.
 	if key := r.Header.Get("Idempotency-Key"); (effect == saltmast.Keyed) != (key != "") || len(key) > maxKey {
 		return e, http.StatusBadRequest, "Idempotency-Key: wanted for a keyed class alone"
@@ -253,19 +270,19 @@
 			e.Work = time.Duration(us * 1e3)
 		}
 	}
-	if i := slices.Index(f.tenants, r.Header.Get("X-Caller")); i > 0 {
+	if i := slices.Index(t.Tenants, r.Header.Get("X-Caller")); i > 0 {
 		e.Tenant = i
 	}
 	return e, 0, ""
 }
 
 // account is what a request is about, as the operator's file maps it; "" where it does not say.
-func (f *Front) account(r *http.Request, body []byte) string {
-	if f.record.Header != "" {
-		return r.Header.Get(f.record.Header)
+func (rec Record) account(r *http.Request, body []byte) string {
+	if rec.Header != "" {
+		return r.Header.Get(rec.Header)
 	}
 	var value any
-	if f.record.Field == nil {
+	if rec.Field == nil {
 		return ""
 	}
 	d := json.NewDecoder(bytes.NewReader(body))
@@ -273,7 +290,7 @@
 	if d.Decode(&value) != nil {
 		return ""
 	}
-	for _, name := range f.record.Field {
+	for _, name := range rec.Field {
 		object, _ := value.(map[string]any)
 		value = object[name]
 	}
--- a/internal/front/thrift/front.go
+++ b/internal/front/thrift/front.go
@@ -65,11 +65,16 @@
 	Oneway  bool    // no answer is ever written, also where the call is not marked so: some stock clients never do
 }
 
-// Options are what a front is made of.
-type Options struct {
-	Settings saltmast.Settings
+// Terms are what calls are taken by. A call keeps those that it came under.
+type Terms struct {
+	Settings *saltmast.Settings
 	Tenants  []string
 	Methods  map[string]*Method // by name, as it stands on the wire
+}
+
+// Options are what a front is made of.
+type Options struct {
+	Terms
 	Loop     *core.Loop
 	Conns    *conns.Listener
 	To       thrift.Protocol // what servers are spoken to in
@@ -82,6 +87,7 @@
 type Front struct {
 	o        Options
 	draining atomic.Bool // it stops
+	terms    atomic.Pointer[Terms]
 	drained  atomic.Bool // operators have drained it
 	running  sync.WaitGroup
 	foreign  sync.Once // bytes of another protocol are logged once
@@ -94,7 +100,14 @@
 }
 
 // New returns a front that serves once Serve is called.
-func New(o Options) *Front { return &Front{o: o, work: work.New(), open: map[*conn]bool{}} }
+func New(o Options) *Front {
+	f := &Front{o: o, work: work.New(), open: map[*conn]bool{}}
+	f.Retune(o.Terms)
+	return f
+}
+
+// Retune has the calls to come taken by other terms, which the loop must know already.
+func (f *Front) Retune(t Terms) { f.terms.Store(&t) }
 
 // Serve takes connections until Stop, and returns why it ended.
 func (f *Front) Serve() error {
@@ -254,7 +267,8 @@
 		if err != nil || m.Type != thrift.Call && m.Type != thrift.Oneway {
 			return errBad
 		}
-		method := c.f.o.Methods[string(m.Name)] // nil: unknown
+		terms := c.f.terms.Load()
+		method := terms.Methods[string(m.Name)] // nil: unknown
 		if method != nil && method.Oneway {
 			m.Type = thrift.Oneway
 		}
@@ -263,7 +277,7 @@
 		c.calls.Add(1)
 		c.f.work.Go(func() {
 			defer c.calls.Done()
-			c.call(ctx, &m, method, arrived)
+			c.call(ctx, terms, &m, method, arrived)
 			c.end(&m)
 			<-c.places
 		})
@@ -330,13 +344,13 @@
 }
 
 // call sees one call through to its answer.
-func (c *conn) call(ctx context.Context, m *thrift.Message, method *Method, arrived time.Time) {
-	event, kind, text := c.f.parse(m, method)
+func (c *conn) call(ctx context.Context, terms *Terms, m *thrift.Message, method *Method, arrived time.Time) {
+	event, kind, text := terms.parse(m, method)
 	if text != "" {
 		c.except(m, kind, text)
 		return
 	}
-	req := c.f.o.Loop.NewRequest(event, arrived, &upstream.Thrift{Call: *m, To: c.f.o.To, Rejected: []byte(c.f.o.Rejected), Limits: c.f.o.Limits})
+	req := c.f.o.Loop.NewRequest(terms.Settings, event, arrived, &upstream.Thrift{Call: *m, To: c.f.o.To, Rejected: []byte(c.f.o.Rejected), Limits: c.f.o.Limits})
 	if method.Record != "" {
 		account, _ := field(m, method.Account)
 		key, _ := field(m, method.Key)
@@ -354,11 +368,11 @@
 }
 
 // parse makes a request of a call. A text says what is wrong with it: then it is not taken.
-func (f *Front) parse(m *thrift.Message, method *Method) (e saltmast.Request, kind thrift.ApplicationException, text string) {
+func (t *Terms) parse(m *thrift.Message, method *Method) (e saltmast.Request, kind thrift.ApplicationException, text string) {
 	if method == nil {
 		return e, thrift.UnknownMethod, fmt.Sprintf("unknown method %.100q", m.Name)
 	}
-	class := &f.o.Settings.Classes[method.Class]
+	class := &t.Settings.Classes[method.Class]
 	e = saltmast.Request{Class: method.Class, Left: class.Deadline}
 	id, ok := field(m, method.ID)
 	switch {
@@ -386,7 +400,7 @@
 		e.Left = min(e.Left, time.Duration(ms)*time.Millisecond)
 	}
 	if tenant, ok := field(m, method.Tenant); ok {
-		for i, name := range f.o.Tenants {
+		for i, name := range t.Tenants {
 			if name == tenant && i > 0 {
 				e.Tenant = i
 			}
--- a/internal/maintenance/maintenance_test.go
+++ b/internal/maintenance/maintenance_test.go
@@ -86,7 +86,7 @@
 			t.Fatalf("%v: %+v read back as %+v", err, s, back)
 		}
 		n, _ := s.Disable("a")
-		n = n.Enable("a", 1<<40, 1000).Drain(true)
+		n.Enable("a", 1<<40, 1000).Drain(true)
 		if !bytes.Equal(before, s.Encode()) {
 			t.Fatal("a call changed a state that was given out")
 		}
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -72,7 +72,7 @@
 
 // probe examines a backend outside any request.
 func (b *Backends) probe(ctx context.Context, backend string) (saltmast.Result, reply) {
-	cut := time.Now().Add(b.probing)
+	cut := time.Now().Add(b.terms.Load().probing)
 	c, res, err := b.connect(ctx, backend, cut)
 	if c == nil {
 		return res, reply{at: time.Now(), err: err}
@@ -85,7 +85,7 @@
 		return b.exchange(ctx, c, "", newProbeThrift(b.Ping, b.Protocol), cut)
 	}
 	path := "/healthz"
-	if b.Reports != saltmast.ReportsNone {
+	if b.terms.Load().reports != saltmast.ReportsNone {
 		path = "/load"
 	}
 	res, r := b.exchange(ctx, c, "", probeHTTP{path, c.RemoteAddr().String()}, cut)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -16,11 +16,10 @@
 // Nothing reads an idle connection: what comes on it answers no request, and must not pass for the answer
 // to the next one. It is looked at when it is taken, and dropped if anything has come.
 type pool struct {
-	maxIdle time.Duration // idle for longer, a connection is closed: before the backend does
-	limit   int           // connections at the most; 0: no limit
-	dialer  net.Dialer
-
 	mu       sync.Mutex
+	maxIdle  time.Duration // idle for longer, a connection is closed: before the backend does
+	limit    int           // connections at the most; 0: no limit
+	dialer   net.Dialer
 	open     int
 	groups   map[string]*group // by backend, while it has connections
 	sweeping bool
@@ -78,8 +77,8 @@
 	}
 	g.open++
 	p.open++
-	p.mu.Unlock()
 	d := p.dialer
+	p.mu.Unlock()
 	d.Deadline = cut
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -91,6 +90,13 @@
 	return &conn{Conn: nc, group: g}, nil
 }
 
+// retune sets how long connections may rest, and dials may take, from now on.
+func (p *pool) retune(maxIdle, connectTimeout time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.maxIdle, p.dialer.Timeout = maxIdle, connectTimeout
+}
+
 // setLimit sets the limit. Idle connections beyond it close; those in use close when more are wanted.
 func (p *pool) setLimit(limit int) {
 	p.mu.Lock()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -8,6 +8,7 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"saltmast"
@@ -20,12 +21,10 @@
 
 // Backends carries out attempts and probes. Each ends with exactly one outcome.
 type Backends struct {
-	pool    *pool
-	table   *discovery.Members
-	Reports saltmast.Reports
-	probing time.Duration // how long a probe waits
-	stall   time.Duration // an answer that has begun and brings nothing for so long is spoilt
-	log     *slog.Logger
+	pool  *pool
+	table *discovery.Members
+	terms atomic.Pointer[terms]
+	log   *slog.Logger
 
 	// Ping is the method by which Thrift servers are probed, in Protocol; empty: servers speak HTTP.
 	Ping     string
@@ -36,6 +35,19 @@
 	recording sync.WaitGroup
 }
 
+// terms are what the settings say of attempts.
+type terms struct {
+	reports saltmast.Reports
+	probing time.Duration // how long a probe waits
+	stall   time.Duration // an answer that has begun and brings nothing for so long is spoilt
+}
+
+// Retune has the attempts and probes to come made by other settings.
+func (b *Backends) Retune(s *saltmast.Settings) {
+	b.terms.Store(&terms{reports: s.Reports, probing: 2 * s.ConnectTimeout, stall: max(2*s.ConnectTimeout, 100*time.Millisecond)})
+	b.pool.retune(s.IdleClose*3/4, s.ConnectTimeout)
+}
+
 // Journal is where attempts are recorded.
 type Journal interface {
 	// Intent returns once an intent is on disk; an error means that nothing may go out. A nil ticket without an error
@@ -66,8 +78,9 @@
 
 // New returns the backends of a list. connections bounds those that are open; 0: no bound.
 func New(s saltmast.Settings, table *discovery.Members, connections int, log *slog.Logger) *Backends {
-	return &Backends{pool: newPool(s.IdleClose*3/4, s.ConnectTimeout, connections), table: table, Reports: s.Reports,
-		probing: 2 * s.ConnectTimeout, stall: max(2*s.ConnectTimeout, 100*time.Millisecond), log: log}
+	b := &Backends{pool: newPool(s.IdleClose*3/4, s.ConnectTimeout, connections), table: table, log: log}
+	b.Retune(&s)
+	return b
 }
 
 // Retire ends the use of all connections to a backend that drains, is gone or was started again.
@@ -157,7 +170,7 @@
 	if !c.since.IsZero() {
 		idle = time.Since(c.since)
 	}
-	r, written, again := send(ctx, c.Conn, raw, cut, b.stall, m.read)
+	r, written, again := send(ctx, c.Conn, raw, cut, b.terms.Load().stall, m.read)
 	if again {
 		b.pool.release(c)
 	} else {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -27,8 +27,9 @@
 	}
 	table := discovery.NewMembers()
 	table.Apply(l)
-	return &Backends{pool: newPool(time.Minute, long, 0), table: table, probing: long, stall: time.Second,
-		log: logTo(&capture{})}
+	b := &Backends{pool: newPool(time.Minute, long, 0), table: table, log: logTo(&capture{})}
+	b.terms.Store(&terms{probing: long, stall: time.Second})
+	return b
 }
 
 func settle() *core.Call {
@@ -423,7 +424,7 @@
 	if res, _ := b.probe(context.Background(), "s0"); res != saltmast.OK || receive(t, p.Got).URL.Path != "/healthz" {
 		t.Errorf("result %d", res)
 	}
-	b.Reports = saltmast.ReportsProbes
+	b.terms.Store(&terms{reports: saltmast.ReportsProbes, probing: long, stall: time.Second})
 	_, r := b.probe(context.Background(), "s0")
 	if l := loadReport(r); receive(t, p.Got).URL.Path != "/load" || l.InFlight != 7 || l.Queue != 2 || l.Utilization != 0.61 || l.Throughput != -1 {
 		t.Errorf("load %+v", l)
--- /dev/null
+++ b/retune_test.go
@@ -0,0 +1,177 @@
+package saltmast
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Open requests keep the rules that they came under, over any reloads: how many attempts, whether again and where, as an
+// observer beside the module counts.
+func TestOpenRequestsKeepTheirRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		settings := func(generation uint64) Settings {
+			s := Settings{Generation: generation, Balancers: 1, MaxAttempts: rapid.IntRange(1, 4).Draw(t, "attempts"), ConnectTimeout: time.Second}
+			for range rapid.IntRange(1, 3).Draw(t, "classes") {
+				s.Classes = append(s.Classes, Class{Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1,
+					Effect: Effect(rapid.IntRange(0, 2).Draw(t, "effect")), Group: GroupCell, Window: 3 * time.Second})
+			}
+			return s
+		}
+		all := []Settings{settings(0)}
+		b, err := New(all[0], 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		type seen struct {
+			class  Class
+			max    int
+			sent   []string
+			risky  int
+			anchor string
+			at     time.Duration
+			over   bool
+		}
+		cell := map[string]int{"s0": 0, "s1": 0, "s2": 1, "s3": 1}
+		now := time.Hour
+		requests := map[string]*seen{}
+		type try struct {
+			id, to string
+			no     int
+		}
+		var open []try
+		timers := map[int64]time.Duration{}
+		step := func(events ...Event) {
+			for _, a := range b.Step(now, events) {
+				switch a := a.(type) {
+				case Send:
+					r := requests[a.Request]
+					if r.over || len(r.sent) >= r.max {
+						t.Fatalf("attempt %d of %s, which came when %d were allowed (over: %v)", len(r.sent)+1, a.Request, r.max, r.over)
+					}
+					if r.risky > 0 && (r.class.Effect == Unsafe || r.class.Effect == Keyed && (cell[r.anchor] != cell[a.Backend] || now-r.at >= r.class.Window)) {
+						t.Fatalf("a repeat of %s at %s that its class does not allow: %+v", a.Request, a.Backend, r)
+					}
+					if r.risky == 0 {
+						r.anchor, r.at = a.Backend, now
+					}
+					r.risky++
+					open = append(open, try{a.Request, a.Backend, len(r.sent)})
+					r.sent = append(r.sent, a.Backend)
+				case Refuse:
+					r := requests[a.Request]
+					if r.risky > 0 {
+						t.Fatalf("%s is refused and may have run", a.Request)
+					}
+					r.over = true
+				case Fail:
+					requests[a.Request].over = true
+				case SetTimer:
+					timers[a.Token] = now + a.After
+				}
+			}
+		}
+		var list []Backend
+		for _, id := range []string{"s0", "s1", "s2", "s3"} {
+			list = append(list, Backend{ID: id, Cell: cell[id]})
+		}
+		step(List{Kind: ListFull, Backends: list})
+		for i := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				n := settings(uint64(len(all)))
+				var from []int
+				for range n.Classes {
+					from = append(from, rapid.IntRange(-1, len(all[len(all)-1].Classes)-1).Draw(t, "from"))
+				}
+				all = append(all, n)
+				step(Retune{Settings: n, From: from})
+			case 1, 2: // some come late, under settings before
+				g := len(all) - 1 - rapid.IntRange(0, min(len(all)-1, keptRules-1)).Draw(t, "back")
+				class := rapid.IntRange(0, len(all[g].Classes)-1).Draw(t, "class")
+				id := fmt.Sprint("r", i)
+				requests[id] = &seen{class: all[g].Classes[class], max: all[g].MaxAttempts}
+				step(Request{ID: id, Class: class, Generation: uint64(g), Left: 6 * time.Second})
+			case 3:
+				if len(open) == 0 {
+					continue
+				}
+				o := open[0]
+				open = open[1:]
+				res := Result(rapid.IntRange(0, int(NotSent)).Draw(t, "result"))
+				r := requests[o.id]
+				if res.NeverRan() {
+					r.risky--
+				}
+				r.over = r.over || res == OK
+				step(Outcome{Request: o.id, Attempt: o.no, Backend: o.to, Latency: 50 * time.Millisecond, Result: res, Done: r.over})
+			case 4:
+				for token, at := range timers {
+					if at <= now {
+						delete(timers, token)
+						step(TimerFired{Token: token})
+					}
+				}
+			}
+		}
+		if len(b.rules) > keptRules+len(requests) {
+			t.Fatalf("%d settings are kept", len(b.rules))
+		}
+	})
+}
+
+// Settings are forgotten once no request has them, but for a few for those on their way; a later one is refused at once.
+func TestSettingsAreForgotten(t *testing.T) {
+	s := Settings{Balancers: 1, Classes: []Class{{Aim: time.Second, Deadline: time.Second}}}
+	b, err := New(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Step(time.Hour, []Event{List{Kind: ListFull, Backends: []Backend{{ID: "s0"}}}, Request{ID: "q", Left: time.Second}})
+	for i := range 100 {
+		s.Generation = uint64(i + 1)
+		b.Step(time.Hour, []Event{Retune{Settings: s, From: []int{0}}})
+	}
+	if len(b.rules) != keptRules+1 || b.rulesOf(0) == nil {
+		t.Errorf("%d settings are kept, with those of the open request", len(b.rules))
+	}
+	b.Step(time.Hour, []Event{Outcome{Request: "q", Backend: "s0", Latency: time.Millisecond}})
+	s.Generation++
+	b.Step(time.Hour, []Event{Retune{Settings: s, From: []int{0}}})
+	if len(b.rules) != keptRules {
+		t.Errorf("%d settings are kept", len(b.rules))
+	}
+	actions := b.Step(time.Hour, []Event{Request{ID: "late", Generation: 1, Left: time.Second}})
+	if len(actions) != 1 || actions[0] != (Refuse{Request: "late"}) {
+		t.Errorf("a request under forgotten settings: %v", actions)
+	}
+}
+
+// What was learned of backends stays, and of a class what goes on; settings that make no sense are not taken.
+func TestRetuneKeepsWhatWasLearned(t *testing.T) {
+	c := Class{Aim: time.Second, Deadline: time.Second, Worth: 1}
+	s := Settings{Balancers: 1, Classes: []Class{c, c}}
+	b, err := New(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Step(time.Hour, []Event{List{Kind: ListFull, Backends: []Backend{{ID: "s0"}}}})
+	b.byID["s0"].slow = 3
+	b.classes[1].latency = 77
+	n := s
+	n.Generation = 1
+	n.Classes = []Class{{Aim: 2 * time.Second, Deadline: 2 * time.Second, Effect: Unsafe}, c, c}
+	b.Step(time.Hour, []Event{Retune{Settings: n, From: []int{1, 0, -1}}})
+	if b.byID["s0"].slow != 3 || b.classes[0].latency != 77 || b.classes[0].Effect != Unsafe || b.classes[2].latency != float64(c.Aim)/4 {
+		t.Errorf("%+v %+v", b.classes[0], b.classes[2])
+	}
+	bad := n
+	bad.Generation, bad.Classes = 2, nil
+	b.Step(time.Hour, []Event{Retune{Settings: bad}})
+	if b.s.Generation != 1 {
+		t.Error("settings without a class were taken")
+	}
+}
--- a/saltmast.go
+++ b/saltmast.go
@@ -8,6 +8,7 @@
 // rules.
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -69,26 +70,63 @@
 	holdAtMost  = 0.75  // of the aim; a request may always be held for the rest of it
 	askFleet    = 64.0  // agents that may call the list as if they were few
 	askAtMost   = 2.0   // AskWithins over which a call comes again after a failed one: four are allowed
+	keptRules   = 8     // settings before the present ones that are kept for requests on their way
 	repeatValue = 0.1   // value of a client's repeat against a first try: most of its aim has passed
 )
 
 // New returns a balancer with no state. All its random choices come from seed.
 func New(s Settings, seed uint64) (*Balancer, error) {
-	if err := s.check(); err != nil {
+	if err := s.Check(); err != nil {
 		return nil, err
 	}
-	b := &Balancer{s: s, rng: rand.New(rand.NewPCG(seed, 0)), tokens: bucketCap, vary: 1,
-		base: aimedDelay / aimedRise, perBack: floorPerBack, byID: map[string]*backend{}, withdrawn: map[string]bool{},
-		requests: map[string]*request{}, timers: map[int64]*request{}, lines: map[string]*line{}}
-	b.s.MaxAttempts = max(1, s.MaxAttempts)
+	b := &Balancer{rng: rand.New(rand.NewPCG(seed, 0)), tokens: bucketCap, vary: 1,
+		base: aimedDelay / aimedRise, perBack: floorPerBack,
+		byID: map[string]*backend{}, withdrawn: map[string]bool{}, requests: map[string]*request{}, timers: map[int64]*request{}, lines: map[string]*line{}}
+	b.adopt(s, nil)
+	return b, nil
+}
+
+// adopt has settings in force for the requests to come; those that are open keep theirs. What was learned of
+// backends stays, and what was learned of a class where a class of the new settings continues it.
+func (b *Balancer) adopt(s Settings, from []int) {
+	s.MaxAttempts = max(1, s.MaxAttempts)
 	if s.ColdShare == 0 {
-		b.s.ColdShare = 1
+		s.ColdShare = 1
+	}
+	n := &rules{s: &s}
+	for i, c := range s.Classes {
+		state := classState{latency: float64(c.Aim) / 4, freshOK: 1, knownOK: 1}
+		if i < len(from) && from[i] >= 0 && from[i] < len(b.classes) {
+			if old := b.classes[from[i]]; old.Class == c {
+				n.classes = append(n.classes, old)
+				continue
+			} else { // its clients and its work are the same, its times and its meaning may not be
+				state = *old
+				state.patience = 0
+			}
+		}
+		state.Class = c
+		n.classes = append(n.classes, &state)
 	}
-	for _, c := range s.Classes {
-		b.classes = append(b.classes, classState{Class: c, latency: float64(c.Aim) / 4,
-			freshOK: 1, knownOK: 1})
+	if b.rules = append(b.rules, n); len(b.rules) > keptRules {
+		old, recent := b.rules[:len(b.rules)-keptRules], b.rules[len(b.rules)-keptRules:]
+		idle := func(r *rules) bool { return r.open == 0 }
+		b.rules = append(slices.DeleteFunc(slices.Clone(old), idle), recent...)
+	}
+	b.s, b.classes = n.s, n.classes
+	for _, t := range b.backends {
+		maps.DeleteFunc(t.shuns, func(c *classState, _ shun) bool { return !slices.Contains(b.classes, c) })
 	}
-	return b, nil
+}
+
+// rulesOf are the settings that a request arrived under; nil: they are forgotten.
+func (b *Balancer) rulesOf(generation uint64) *rules {
+	for i := len(b.rules) - 1; i >= 0; i-- {
+		if b.rules[i].s.Generation == generation {
+			return b.rules[i]
+		}
+	}
+	return nil
 }
 
 // Step takes what has happened by now, in order, and returns what to do.
@@ -109,6 +147,11 @@
 		case List:
 			b.onList(e)
 			b.measure()
+		case Retune:
+			if e.Settings.Check() == nil {
+				b.adopt(e.Settings, e.From)
+				b.measure()
+			}
 		case Maintenance:
 			b.onMaintenance(e)
 			b.measure()
@@ -127,11 +170,17 @@
 }
 
 func (b *Balancer) onRequest(e Request) {
-	if e.Class < 0 || e.Class >= len(b.classes) || b.requests[e.ID] != nil {
+	in := b.rulesOf(e.Generation)
+	if in == nil {
+		b.actions = append(b.actions, Refuse{Request: e.ID})
+		return
+	}
+	if e.Class < 0 || e.Class >= len(in.classes) || b.requests[e.ID] != nil {
 		return
 	}
-	c := &b.classes[e.Class]
-	r := &request{id: e.ID, class: e.Class, aim: b.now + min(c.Aim, e.Left),
+	c := in.classes[e.Class]
+	in.open++
+	r := &request{id: e.ID, rules: in, c: c, aim: b.now + min(c.Aim, e.Left),
 		deadline: b.now + e.Left, repeat: e.Repeat}
 	// A client gives its tries a usual patience, its last one all that is left of its deadline.
 	// A try with any other patience therefore tells how long ago the client began.
@@ -149,9 +198,9 @@
 	if r.work = float64(e.Work); r.work > 0 {
 		c.work = blend(c.work, r.work)
 	}
-	for i := range b.classes { // decay by arrivals: the last few hundred requests count
-		b.classes[i].arrived *= 1 - smooth/20
-		b.classes[i].answered *= 1 - smooth/20
+	for _, c := range b.classes { // decay by arrivals: the last few hundred requests count
+		c.arrived *= 1 - smooth/20
+		c.answered *= 1 - smooth/20
 	}
 	c.arrived++
 	b.requests[e.ID] = r
@@ -176,12 +225,12 @@
 	if e.Result == TimedOut || e.Result == Reset || e.Result == Cancelled {
 		r.rest = b.now + b.s.KeyRest
 	}
-	if b.neverRan(e.Result) {
+	if r.neverRan(e.Result) {
 		if r.risky--; r.risky == 0 {
 			r.anchor = nil
 		}
 	}
-	c := &b.classes[r.class]
+	c := r.c
 	b.observe(r, a, e)
 	if e.Result == OK && !r.ended {
 		b.tokens = min(bucketCap, b.tokens+successRefill)
@@ -236,7 +285,7 @@
 	a := r.attempts[len(r.attempts)-1]
 	r.failed = a.b
 	a.b.linked = false
-	b.shun(a.b, r.class)
+	b.shun(a.b, r.c)
 	b.retry(r, TimedOut)
 }
 
@@ -277,8 +326,8 @@
 	if len(b.held) == 0 {
 		return
 	}
-	for i := range b.classes {
-		b.classes[i].value = b.value(i)
+	for _, c := range b.classes {
+		c.value = b.value(c)
 	}
 	for float64(b.inFlight-b.stuck) < b.limit() && !b.throttled() {
 		best, value := -1, 0.0
@@ -303,10 +352,11 @@
 	}
 	for i := len(b.held) - 1; i >= 0; i-- {
 		r := b.held[i]
-		need := min(holdMargin*b.expected(r), holdAtMost*float64(b.classes[r.class].Aim))
+		need := min(holdMargin*b.expected(r), holdAtMost*float64(r.c.Aim))
 		give := min(r.aim, r.deadline) - time.Duration(need)
 		r.passed = false
-		if r.repeat || give <= b.now || b.up == 0 && len(b.withdrawn) > 0 { // staff put none back within an aim
+		hopeless := b.up == 0 && len(b.withdrawn) > 0 // staff put none back within an aim
+		if r.repeat || give <= b.now || hopeless {
 			b.unhold(r)
 			b.giveUp(r)
 		} else if r.timer == 0 {
@@ -335,29 +385,28 @@
 
 // heldValue is what sending a held request now adds, against others.
 func (b *Balancer) heldValue(r *request) float64 {
-	v := b.classes[r.class].value
+	v := r.c.value
 	if r.repeat {
 		v *= repeatValue
 	}
 	if r.aim-b.now < time.Duration(b.expected(r)/2) {
-		v *= b.classes[r.class].LateWorth
+		v *= r.c.LateWorth
 	}
 	return v
 }
 
 // value is what a unit of work spent on a class now adds to the operator's goal.
-func (b *Balancer) value(class int) float64 {
-	total, worst, low := 0.0, -1, math.Inf(1)
-	for i := range b.classes {
-		c := &b.classes[i]
-		total += c.arrived * c.Worth * b.unit(c)
-		if share := c.share(); share < low {
-			worst, low = i, share
+func (b *Balancer) value(c *classState) float64 {
+	total, low := 0.0, math.Inf(1)
+	var worst *classState
+	for _, o := range b.classes {
+		total += o.arrived * o.Worth * b.unit(o)
+		if share := o.share(); share < low {
+			worst, low = o, share
 		}
 	}
-	c := &b.classes[class]
 	v := (b.s.GoalWhole + b.s.GoalWindow) * c.Worth * b.unit(c) / c.latency / max(total, 1e-9)
-	if class == worst {
+	if c == worst {
 		v += b.s.GoalClass / (max(c.arrived, 1) * c.latency)
 	}
 	return v
@@ -453,7 +502,7 @@
 	// to every backend; a backend takes only so many, and each costs it work. An idle backend with
 	// an open connection comes first, once there are enough of them to choose from; then one of
 	// these with little in flight; only then a further connection.
-	trusted := b.s.WarmKeys && b.classes[r.class].freshOK >= b.classes[r.class].knownOK-trustGap
+	trusted := b.s.WarmKeys && r.c.freshOK >= r.c.knownOK-trustGap
 	switch {
 	case fresh != nil && (links < workingSet || trusted && firstFresh < firstIdle):
 		return fresh
@@ -530,7 +579,7 @@
 
 // expected is the mean latency for a request of this class and told work.
 func (b *Balancer) expected(r *request) float64 {
-	c := &b.classes[r.class]
+	c := r.c
 	if r.work > 0 && c.work > 0 {
 		return c.latency * r.work / c.work
 	}
@@ -545,10 +594,10 @@
 // Only where no limit binds: under a limit a second attempt takes the room of another request.
 func (b *Balancer) awaitSilence(r *request) {
 	r.timer = 0 // voids the one it was held with
-	c := &b.classes[r.class]
+	c := r.c
 	l := b.expected(r)
 	wait := l * (1 + silentDevs*b.vary)
-	if b.sparse(sparseBelow) && r.open == 1 && len(r.attempts) < b.s.MaxAttempts && b.s.SecondCopies &&
+	if s := r.rules.s; b.sparse(sparseBelow) && r.open == 1 && len(r.attempts) < s.MaxAttempts && s.SecondCopies &&
 		c.Effect != Unsafe && b.now+time.Duration(wait+l) <= r.aim {
 		b.timer(r, b.now+time.Duration(wait))
 	}
@@ -560,7 +609,7 @@
 	if res == TimedOut {
 		cost = timeoutCost
 	}
-	c := &b.classes[r.class]
+	c := r.c
 	wait := time.Duration(b.rng.Float64() * min(math.Exp2(float64(r.retries)), backoffCeiling) *
 		backoffUnit * float64(c.Aim))
 	at := b.now + wait
@@ -587,10 +636,11 @@
 
 // mayRepeat is the repeat rule: whether a (further) attempt of r may go to t.
 func (b *Balancer) mayRepeat(r *request, t *backend) bool {
-	if r.ended || r.stream || len(r.attempts) >= b.s.MaxAttempts || r.open > 0 && !b.s.SecondCopies {
+	if r.ended || r.stream || len(r.attempts) >= r.rules.s.MaxAttempts ||
+		r.open > 0 && !(r.rules.s.SecondCopies && b.s.SecondCopies) {
 		return false
 	}
-	c := &b.classes[r.class]
+	c := r.c
 	if c.Effect == Safe || r.risky == 0 {
 		return true
 	}
@@ -607,8 +657,8 @@
 }
 
 // neverRan reports whether a result proves that the attempt had no effect.
-func (b *Balancer) neverRan(res Result) bool {
-	return res.NeverRan() && !(res == Full && b.s.FullNoProof)
+func (r *request) neverRan(res Result) bool {
+	return res.NeverRan() && !(res == Full && r.rules.s.FullNoProof)
 }
 
 // ---- Order of a key ----
@@ -621,7 +671,7 @@
 
 // lineUp puts a new request behind all others of its key.
 func (b *Balancer) lineUp(r *request, key string) {
-	if key == "" || !b.classes[r.class].KeepOrder {
+	if key == "" || !r.c.KeepOrder {
 		return
 	}
 	if r.line = b.lines[key]; r.line == nil {
@@ -664,7 +714,7 @@
 
 // observe learns from the outcome of an attempt.
 func (b *Balancer) observe(r *request, a *attempt, e Outcome) {
-	t, c, lat := a.b, &b.classes[r.class], float64(e.Latency)
+	t, c, lat := a.b, r.c, float64(e.Latency)
 	// Incident iec25a3: agents stayed with the backends of a small fleet while it grew fivefold. One
 	// that turns work away or answers nothing leaves the working set, though still connected.
 	good := 0.0
@@ -694,7 +744,7 @@
 			b.doneWork = b.decayed() + a.cost
 		}
 		t.strikes = max(0, t.strikes-strikeHeal)
-		t.shuns[r.class] = shun{}
+		delete(t.shuns, r.c)
 		t.lastOK = b.now
 		t.seen = true
 		b.learnSpeed(t, lat/a.cost)
@@ -708,7 +758,7 @@
 		t.fullTill = b.now + time.Duration(b.rng.Float64()*c.latency)
 		b.pace(1)
 	case TimedOut:
-		b.shun(t, r.class)
+		b.shun(t, r.c)
 		if t.lastOK < a.sent { // nothing came back since: more than a slow request, and no queue
 			b.strike(t, a, c)
 		} else {
@@ -801,17 +851,18 @@
 // Guards against backends that leave one class unanswered and serve the others, on which they are kept.
 // Acts only for a class that fares clearly worse than another: where answers of all classes get lost,
 // leaving backends out would crowd the rest for nothing.
-func (b *Balancer) shun(t *backend, class int) {
+func (b *Balancer) shun(t *backend, c *classState) {
 	best := 0.0
-	for i := range b.classes {
-		best = max(best, b.classes[i].share())
+	for _, o := range b.classes {
+		best = max(best, o.share())
 	}
-	if b.classes[class].share() > best-trustGap {
+	if c.share() > best-trustGap {
 		return
 	}
-	s := &t.shuns[class]
+	s := t.shuns[c]
 	s.fails = min(s.fails+1, strikeCap)
-	s.till = b.now + time.Duration(shunFor*math.Exp2(s.fails-1)*float64(b.classes[class].Aim))
+	s.till = b.now + time.Duration(shunFor*math.Exp2(s.fails-1)*float64(c.Aim))
+	t.shuns[c] = s
 }
 
 // silent reports whether t has answered nothing since it was sent its oldest open attempt, for
@@ -825,13 +876,13 @@
 // gets one attempt at a time until it has healed: of requests that may be repeated,
 // and of others only where none of these came for as long again.
 func (b *Balancer) healthy(t *backend, r *request) bool {
-	if b.now < t.ejected || b.silent(t) || b.now < t.shuns[r.class].till {
+	if b.now < t.ejected || b.silent(t) || b.now < t.shuns[r.c].till {
 		return false
 	}
 	if t.strikes == 0 {
 		return true
 	}
-	safe := b.classes[r.class].Effect != Unsafe || b.now >= 2*t.ejected-t.struckAt
+	safe := r.c.Effect != Unsafe || b.now >= 2*t.ejected-t.struckAt
 	return safe && len(t.out) == 0
 }
 
@@ -966,7 +1017,7 @@
 		return true
 	}
 	cost := b.expected(r)
-	mean := b.classes[r.class].latency
+	mean := r.c.latency
 	rate := b.decayed() / float64(b.s.FallWindow+1) / float64(max(b.warm, 1))
 	// No warm one to go by, or put back by operators, who look for its use: its part of the least limit. Else
 	// nothing would ever go out, or a quiet agent's first request there would come long after.
@@ -1015,7 +1066,8 @@
 			continue
 		}
 		if t == nil {
-			t = &backend{Backend: n, hash: hash(n.ID), shuns: make([]shun, len(b.classes)), withdrawn: b.withdrawn[n.ID]}
+			t = &backend{Backend: n, hash: hash(n.ID), shuns: map[*classState]shun{}}
+			t.withdrawn = b.withdrawn[n.ID]
 			b.byID[n.ID] = t
 			b.backends = append(b.backends, t)
 			if n.Started > 0 {
@@ -1039,8 +1091,9 @@
 	b.forgetGone()
 }
 
-// onMaintenance takes a backend out of service, whatever the list says until it is put back. Then it counts as started
-// at that time: it was restarted while it was out, which the list tells late. What it was blamed for is over.
+// onMaintenance takes a backend out of service, whatever the list says until it is put back. Then it counts as
+// started at that time: it was restarted while it was out, which the list tells late. What it was blamed for is
+// over.
 func (b *Balancer) onMaintenance(e Maintenance) {
 	t := b.byID[e.Backend]
 	if e.Out {
@@ -1076,7 +1129,7 @@
 		return
 	}
 	a := &attempt{b: t, sent: b.now, fresh: !b.isLinked(t), cost: max(b.expected(r), 1), open: true,
-		patience: time.Duration(max(silentAfter*float64(b.classes[r.class].Aim), silentMeans*b.expected(r)))}
+		patience: time.Duration(max(silentAfter*float64(r.c.Aim), silentMeans*b.expected(r)))}
 	r.attempts = append(r.attempts, a)
 	r.open++
 	if r.risky++; r.anchor == nil {
@@ -1115,7 +1168,7 @@
 	if !b.s.RetryAfter {
 		return 0
 	}
-	unit := backoffCeiling * backoffUnit * float64(b.classes[r.class].Aim)
+	unit := backoffCeiling * backoffUnit * float64(r.c.Aim)
 	return time.Duration(b.rng.Float64() * min(unit, float64(b.s.MaxRetryAfter)))
 }
 
@@ -1128,8 +1181,9 @@
 	if r.holding {
 		b.unhold(r)
 	}
-	if r.open == 0 {
+	if r.open == 0 && b.requests[r.id] == r {
 		delete(b.requests, r.id)
+		r.rules.open--
 		b.leaveLine(r)
 	}
 }
--- a/settings.go
+++ b/settings.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// check names the first setting that makes no sense. It decides nothing.
-func (s *Settings) check() error {
+// Check names the first setting that makes no sense. It decides nothing.
+func (s *Settings) Check() error {
 	bad := func(field string, v any) error {
 		return fmt.Errorf("saltmast: settings: %s: %v makes no sense", field, v)
 	}
--- a/state.go
+++ b/state.go
@@ -10,7 +10,8 @@
 
 // Balancer decides for one agent. See the package comment for its use.
 type Balancer struct {
-	s       Settings
+	s       *Settings // those in force
+	rules   []*rules  // with those before, while some request has them; the last is in force
 	rng     *rand.Rand
 	now     time.Duration
 	actions []Action
@@ -26,8 +27,8 @@
 	timers    map[int64]*request
 	token     int64 // last timer token given out
 
-	tokens   float64 // the retry bucket
-	classes  []classState
+	tokens   float64       // the retry bucket
+	classes  []*classState // of the settings in force
 	inFlight int
 	stuck    int           // of these, on backends that are not counted in capacity
 	perBack  float64       // attempts that all agents may have in flight together, per backend that is up
@@ -50,6 +51,13 @@
 	askToken int64
 }
 
+// rules are settings, and their classes, while they are in force or some request has them.
+type rules struct {
+	s       *Settings
+	classes []*classState
+	open    int // requests
+}
+
 type classState struct {
 	Class
 	latency  float64       // running mean of served latency, ns
@@ -73,7 +81,7 @@
 	ejected  time.Duration // no traffic before this time
 	struckAt time.Duration
 	fullTill time.Duration
-	shuns    []shun // by class
+	shuns    map[*classState]shun
 	lastOK   time.Duration
 	heard    time.Duration // when the latest of its attempts that were answered was sent
 	down     bool          // connections failed or broke since the last answer
@@ -108,7 +116,8 @@
 
 type request struct {
 	id       string
-	class    int
+	rules    *rules // that it arrived under, and keeps
+	c        *classState
 	aim      time.Duration // answers after this time earn less
 	deadline time.Duration
 	key      uint64        // hash of what it is about; 0: nothing told
