--- a/saltmast.go
+++ b/saltmast.go
@@ -81,7 +81,8 @@
 	}
 	b := &Balancer{rng: rand.New(rand.NewPCG(seed, 0)), tokens: bucketCap, vary: 1,
 		base: aimedDelay / aimedRise, perBack: floorPerBack,
-		byID: map[string]*backend{}, withdrawn: map[string]bool{}, requests: map[string]*request{}, timers: map[int64]*request{}, lines: map[string]*line{}}
+		byID: map[string]*backend{}, withdrawn: map[string]bool{},
+		requests: map[string]*request{}, timers: map[int64]*request{}, lines: map[string]*line{}}
 	b.adopt(s, nil)
 	return b, nil
 }
@@ -597,7 +598,8 @@
 	c := r.c
 	l := b.expected(r)
 	wait := l * (1 + silentDevs*b.vary)
-	if s := r.rules.s; b.sparse(sparseBelow) && r.open == 1 && len(r.attempts) < s.MaxAttempts && s.SecondCopies &&
+	s := r.rules.s
+	if b.sparse(sparseBelow) && r.open == 1 && len(r.attempts) < s.MaxAttempts && s.SecondCopies &&
 		c.Effect != Unsafe && b.now+time.Duration(wait+l) <= r.aim {
 		b.timer(r, b.now+time.Duration(wait))
 	}
@@ -1091,9 +1093,9 @@
 	b.forgetGone()
 }
 
-// onMaintenance takes a backend out of service, whatever the list says until it is put back. Then it counts as
-// started at that time: it was restarted while it was out, which the list tells late. What it was blamed for is
-// over.
+// onMaintenance takes a backend out of service, whatever the list says until it is put back. Then it counts
+// as started at that time: it was restarted while it was out, which the list tells late. What it was blamed
+// for is over.
 func (b *Balancer) onMaintenance(e Maintenance) {
 	t := b.byID[e.Backend]
 	if e.Out {
