--- a/api.go
+++ b/api.go
@@ -201,7 +201,12 @@
 		Key        string        // what the request is about; "": nothing told
 		Tenant     int           // whose it is, by Settings.Tenants
 		Write      bool          // it writes
+		// Coming: its body is still coming and is passed on as it comes, to one attempt. Arrived tells of its last byte;
+		// its times count from there, Left included.
+		Coming bool
 	}
+	// Arrived says that the last byte of a request that was Coming has gone out to its attempt.
+	Arrived struct{ Request string }
 	// Outcome ends one attempt. The agent passes on exactly one for each Send.
 	Outcome struct {
 		Request string
@@ -210,6 +215,7 @@
 		Result  Result
 		Latency time.Duration // since it was sent
 		Done    bool          // the request has its final answer, by this outcome or before
+		Spent   bool          // the body can't be sent once more: no further attempt is possible
 		Load    Load
 	}
 	// Maintenance says that operators have taken a backend out of service, or put it back. It gets nothing new
@@ -326,6 +332,7 @@
 
 func (List) event()          {}
 func (Request) event()       {}
+func (Arrived) event()       {}
 func (Outcome) event()       {}
 func (Maintenance) event()   {}
 func (Retune) event()        {}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,6 +20,7 @@
 	"saltmast/internal/front/http"
 	thriftfront "saltmast/internal/front/thrift"
 	"saltmast/internal/handover"
+	"saltmast/internal/keep"
 	settleslog "saltmast/internal/settles/log"
 	"saltmast/internal/thrift"
 	"saltmast/internal/upstream"
@@ -57,6 +58,7 @@
 	clock       core.Clock
 	thriftFront *thriftfront.Front // nil: off
 
+	bodies   *keep.Account
 	service  *service     // nil: no second address
 	listener net.Listener // the clients' own
 
@@ -90,7 +92,8 @@
 	known.Full = true
 	table := discovery.NewMembers()
 	table.Apply(known)
-	a := &Agent{table: table, log: log, acceptFor: acceptFor, config: c, processes: 1, clock: clock}
+	a := &Agent{table: table, log: log, acceptFor: acceptFor, config: c, processes: 1, clock: clock,
+		bodies: keep.New(c.BodyBytes(1), c.Passings(1))}
 	a.nameZones(c)
 	event := func(l discovery.Listing, kind saltmast.ListKind) saltmast.List { return (*a.zones.Load())(l, kind) }
 	first := event(known, saltmast.ListCached)
@@ -163,7 +166,7 @@
 	}
 	a.listener = listener
 	a.conns = conns.New(listener, c.ClientConns(1)/share)
-	a.front = http.New(http.Options{Terms: httpTerms(c, c.Rules(0)), Loop: a.loop, Conns: a.conns, Serving: table.Any, Log: log})
+	a.front = http.New(http.Options{Terms: httpTerms(c, c.Rules(0)), Loop: a.loop, Conns: a.conns, Serving: table.Any, Bodies: a.bodies, Log: log})
 	a.fronts = append(a.fronts, a.front)
 	return a, nil
 }
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -307,6 +307,7 @@
 	for _, up := range a.ups {
 		up.SetLimit(a.config.BackendConns(a.processes) / len(a.ups))
 	}
+	a.bodies.Resize(a.config.BodyBytes(a.processes), a.config.Passings(a.processes))
 	if a.config.MemoryMB > 0 && a.service != nil {
 		debug.SetMemoryLimit(config.HeapLimit(a.config.MemoryMB, a.processes))
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -52,6 +52,18 @@
 	return max(1, (c.Sockets/processes-callsRoom)*eighths/7)
 }
 
+// BodyBytes is how much memory bodies over 64 KiB may take while they are kept: an eighth of the limit, 16 MB without one.
+func (c *Config) BodyBytes(processes int) int64 {
+	if c.MemoryMB == 0 {
+		return 16 << 20
+	}
+	return int64(c.MemoryMB) << 20 / 8 / int64(processes)
+}
+
+// Passings is how many requests may have bodies that pass at once: each holds a connection at a backend for as long as its
+// client takes, and short requests need the other half.
+func (c *Config) Passings(processes int) int { return (c.BackendConns(processes) + 1) / 2 }
+
 // HeapLimit is the collector's bound in bytes under a limit on memory: the program itself counts too, once for each process.
 func HeapLimit(memoryMB, processes int) int64 {
 	return int64(memoryMB) << 20 * 5 / 8 / int64(processes)
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -7,6 +7,7 @@
 	"container/heap"
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"runtime/debug"
 	"strings"
@@ -22,6 +23,8 @@
 	// netMargin before it the safety net answers. So the last byte is written in time.
 	cutMargin = 20 * time.Millisecond
 	netMargin = 5 * time.Millisecond
+	// comingFor bounds how long a body may be coming: its front ends one that makes no progress long before.
+	comingFor = time.Hour
 	// DrainFor after a stop was asked for, all that is still open is answered: the process may be
 	// killed 3.7 s after.
 	DrainFor = 3200 * time.Millisecond
@@ -63,8 +66,10 @@
 type Call struct {
 	ID      string
 	Payload any
-	Record  *Record     // not nil: no attempt may go out that is not recorded first
-	over    atomic.Bool // ended: nothing more may go out for it
+	Record  *Record                            // not nil: no attempt may go out that is not recorded first
+	whole   func(at time.Time) (cut time.Time) // see Arrived
+	wholeAt atomic.Int64                       // when its last byte went out, on the loop's clock; 0: that was before its arrival
+	over    atomic.Bool                        // ended: nothing more may go out for it
 }
 
 // Record is what a request is recorded by, that must not run twice.
@@ -74,6 +79,10 @@
 	Attempts            atomic.Int32 // that were recorded so far
 }
 
+// Arrived tells, of a request whose body was still coming, when its last byte went out, and returns by when it must be
+// answered: its times count from there. An Upstream calls it once, before the answer is read.
+func (c *Call) Arrived(at time.Time) (cut time.Time) { return c.whole(at) }
+
 // Over reports whether the request has ended: nothing more may go out for it.
 func (c *Call) Over() bool { return c.over.Load() }
 
@@ -102,8 +111,17 @@
 func (l *Loop) NewRequest(rules *saltmast.Settings, event saltmast.Request, arrived time.Time, payload any) *Request {
 	at := l.clock.At(arrived)
 	event.Generation = rules.Generation
-	return &Request{Call: Call{ID: event.ID, Payload: payload}, event: event, rules: rules, class: event.Class, arrived: at,
+	r := &Request{Call: Call{ID: event.ID, Payload: payload}, event: event, rules: rules, class: event.Class, arrived: at,
 		deadline: at + event.Left, answer: make(chan Answer, 1)}
+	if event.Coming {
+		r.deadline = at + comingFor
+		r.whole = func(t time.Time) time.Time {
+			r.wholeAt.Store(int64(l.clock.At(t)))
+			l.post(whole{r})
+			return t.Add(event.Left - 2*netMargin)
+		}
+	}
+	return r
 }
 
 // cancel ends its attempts.
@@ -142,6 +160,7 @@
 	Load    saltmast.Load
 	Payload any // of an attempt that was served: what its front passes on
 
+	Spent      bool // the body can't be sent once more
 	Unrecorded bool // it was not sent since it could not be recorded: the request is turned away
 }
 
@@ -173,6 +192,7 @@
 	}
 	drain struct{}
 	move  struct{ addr string }
+	whole struct{ r *Request } // its last byte has gone out
 	told  struct {
 		event saltmast.Event
 		rules *saltmast.Settings // with a Retune: the loop's own
@@ -344,6 +364,11 @@
 	case arrival:
 		l.arrive(m)
 	case departure:
+		select {
+		case a := <-m.r.answer: // nobody takes it any more
+			discard(a.Payload)
+		default:
+		}
 		if !m.r.ended {
 			l.end(m.r)
 			l.pending = append(l.pending, saltmast.Abandoned{Request: m.r.ID})
@@ -355,6 +380,12 @@
 		for _, r := range l.open {
 			l.guard(r)
 		}
+	case whole:
+		if !m.r.ended {
+			m.r.deadline = time.Duration(m.r.wholeAt.Load()) + m.r.event.Left
+			l.guard(m.r)
+			l.pending = append(l.pending, saltmast.Arrived{Request: m.r.ID})
+		}
 	case move:
 		l.lists.Move(l.ctx, m.addr)
 	case saltmast.Event:
@@ -442,6 +473,8 @@
 	r.risky = r.risky || !m.event.Result.NeverRan() || r.rules.FullNoProof && m.event.Result == saltmast.Full
 	if m.event.Result == saltmast.OK && !r.ended {
 		l.reply(r, Answer{Kind: Served, Payload: m.payload})
+	} else {
+		discard(m.payload)
 	}
 	if m.unrecorded && !r.ended && !r.risky && r.out == 0 { // nothing has run, and what can't be recorded may not go out
 		after := time.Duration(0)
@@ -455,6 +488,13 @@
 	l.pending = append(l.pending, m.event)
 }
 
+// discard ends what an upstream brought and nobody takes: an answer that goes on as it comes holds a connection.
+func discard(payload any) {
+	if c, ok := payload.(io.Closer); ok {
+		c.Close()
+	}
+}
+
 // fire brings the timers that are due.
 func (l *Loop) fire(now time.Duration) {
 	for len(l.timers) > 0 && l.timers[0].at <= now {
@@ -483,6 +523,12 @@
 	for i, e := range events {
 		if q, ok := e.(saltmast.Request); ok && l.open[q.ID] != nil {
 			r := l.open[q.ID]
+			if q.Coming {
+				q.Left -= cutMargin
+				r.cut = r.deadline
+				events[i] = q
+				continue
+			}
 			// A step comes within a tick of an arrival. When the machine is late with it, the module must
 			// not take the delay for a client with less patience, which it reads as one that tries again.
 			q.Left = r.deadline - cutMargin - r.arrived - min(now-r.arrived, l.s.Tick)
@@ -593,7 +639,11 @@
 	until := l.clock.base.Add(cut - clockStart)
 	l.work.Go(func() {
 		rep := l.up.Attempt(ctx, &r.Call, a.Backend, until)
-		event.Result, event.Latency, event.Load = rep.Result, l.clock.At(rep.At)-now, rep.Load
+		from := now
+		if at := r.wholeAt.Load(); at > 0 { // how long a body took to come says nothing of the backend
+			from = time.Duration(at)
+		}
+		event.Result, event.Latency, event.Load, event.Spent = rep.Result, max(0, l.clock.At(rep.At)-from), rep.Load, rep.Spent
 		l.post(outcome{r: r, event: event, payload: rep.Payload, unrecorded: rep.Unrecorded})
 	})
 }
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -5,10 +5,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"net/http/httputil"
 	"net/textproto"
 	"strconv"
 	"strings"
@@ -16,12 +14,13 @@
 	"time"
 
 	"saltmast"
+	"saltmast/internal/keep"
 	"saltmast/internal/thrift"
 )
 
 const (
-	// MaxBody is how many bytes a body may have, either way.
-	MaxBody  = 64 << 10
+	// MaxBody is how many bytes an answer may have that is read whole before it goes on.
+	MaxBody  = keep.Small
 	maxHead  = 16 << 10 // bytes of an answer's head
 	maxEarly = 8        // 1xx answers ahead of the real one
 	maxWire  = 2 * MaxBody
@@ -36,6 +35,7 @@
 	status  int             // of HTTP
 	header  textproto.MIMEHeader
 	body    []byte
+	stream  *Stream         // in place of body, of an answer that goes on as it comes
 	message *thrift.Message // of Thrift
 	odd     string          // what is unexpected about it, for the log
 	at      time.Time
@@ -58,14 +58,28 @@
 		return reply{err: err, at: time.Now()}, false, false
 	}
 	a := &answerReader{Conn: c, ctx: ctx, cut: cut, stall: stall}
+	r, again = a.begin(read)
+	r.at = time.Now()
+	return r, true, stop() && again
+}
+
+// begin reads an answer. The buffer goes back with it, or with the end of one that goes on as it comes.
+func (a *answerReader) begin(read func(*answerReader) (reply, bool)) (r reply, again bool) {
 	a.in = readers.Get().(*bufio.Reader)
 	a.in.Reset(a)
 	r, again = read(a)
-	r.at = time.Now()
+	if r.stream == nil {
+		again = a.release() && again
+	}
+	return r, again
+}
+
+// release gives the buffer back and reports whether nothing was left in it.
+func (a *answerReader) release() bool {
 	extra := a.in.Buffered() > 0
 	a.in.Reset(nil)
 	readers.Put(a.in)
-	return r, true, again && !extra && stop()
+	return !extra
 }
 
 // after is context.AfterFunc, without a context between where ctx can do it by itself.
@@ -131,16 +145,18 @@
 			a.deadline(a.cut) // the real one may take its time
 			continue
 		}
-		length, err := bodyLength(status, header)
+		length, err := bodyLength(status, header, last)
 		if err != nil {
 			return a.failed(err), false
 		}
-		a.left = maxWire
-		body, err := readAnswer(a.in, length)
+		if tooLong(status, length) {
+			return reply{status: status, header: header}, false
+		}
+		body, stream, err := a.readBody(length)
 		if err != nil {
 			return a.failed(err), false
 		}
-		return reply{status: status, header: header, body: body}, !last
+		return reply{status: status, header: header, body: body, stream: stream}, !last && length != untilClose
 	}
 	return a.failed(errors.New("no end of early answers")), false
 }
@@ -188,15 +204,19 @@
 // chunked is the length of a body that comes in chunks.
 const chunked = -1
 
-// bodyLength reads the framing off a head. Two lengths, a length beside an encoding, or neither say nothing
-// certain about where the body ends, and one that is too long is not waited for.
-func bodyLength(status int, h textproto.MIMEHeader) (int, error) {
+// bodyLength reads the framing off a head. Two lengths, or a length beside an encoding, say nothing certain about where the
+// body ends, and one that is too long is not waited for. With neither it ends with its connection.
+func bodyLength(status int, h textproto.MIMEHeader, last bool) (int, error) {
 	lengths, encodings := h["Content-Length"], h["Transfer-Encoding"]
 	switch {
 	case status < 200:
 		return 0, fmt.Errorf("status %d", status)
+	case status == http.StatusNoContent || status == http.StatusNotModified:
+		return 0, nil
+	case len(lengths)+len(encodings) == 0:
+		return untilClose, nil
 	case len(lengths)+len(encodings) != 1:
-		return 0, errors.New("framed twice or not at all")
+		return 0, errors.New("framed twice")
 	case len(encodings) == 1:
 		if !strings.EqualFold(encodings[0], "chunked") {
 			return 0, fmt.Errorf("encoding %.40q", encodings[0])
@@ -204,30 +224,12 @@
 		return chunked, nil
 	}
 	n, err := strconv.ParseUint(lengths[0], 10, 31)
-	if err != nil || n > MaxBody {
+	if err != nil || n > keep.Most {
 		return 0, fmt.Errorf("length %.40q", lengths[0])
 	}
 	return int(n), nil
 }
 
-func readAnswer(in *bufio.Reader, length int) ([]byte, error) {
-	if length >= 0 {
-		body := make([]byte, length)
-		_, err := io.ReadFull(in, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(in), MaxBody+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > MaxBody {
-		return nil, errors.New("too long a body")
-	}
-	// What ends the chunks is a trailer, empty as a rule.
-	_, err = textproto.NewReader(in).ReadMIMEHeader()
-	return body, err
-}
-
 func isTimeout(err error) bool {
 	var ne net.Error
 	return errors.As(err, &ne) && ne.Timeout()
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -1,17 +1,15 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"math"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"time"
 
 	"saltmast"
+	"saltmast/internal/core"
 	"saltmast/internal/wire"
 )
 
@@ -19,26 +17,40 @@
 type HTTP struct {
 	Key          string // Idempotency-Key
 	Method, Host string
-	Target       *url.URL
+	Target       string // path and query, as they came
 	Body         []byte
+	Coming       *Coming // a body that passes, in place of Body
 }
 
 // encode implements codec.
 func (h *HTTP) encode(id string, left time.Duration) ([]byte, error) {
-	req := &http.Request{Method: h.Method, URL: h.Target, Host: h.Host, Header: http.Header{
-		"X-Call-Id":   {id},
-		"X-Budget-Ms": {strconv.FormatInt(max(1, left.Milliseconds()), 10)},
-		"User-Agent":  {""}, // none
-	}}
+	raw := h.appendHead(make([]byte, 0, 256+len(h.Target)+len(h.Body)), id, left, int64(len(h.Body)))
+	return append(raw, h.Body...), nil
+}
+
+// appendHead appends a request's head; length -1: in chunks.
+func (h *HTTP) appendHead(raw []byte, id string, left time.Duration, length int64) []byte {
+	add := func(parts ...string) {
+		for _, p := range parts {
+			raw = append(raw, p...)
+		}
+	}
+	add(h.Method, " ", h.Target, " HTTP/1.1\r\nHost: ", h.Host, "\r\nX-Call-Id: ", id, "\r\nX-Budget-Ms: ")
+	raw = strconv.AppendInt(raw, max(1, left.Milliseconds()), 10)
+	add("\r\n")
 	if h.Key != "" {
-		req.Header["Idempotency-Key"] = []string{h.Key}
+		add("Idempotency-Key: ", h.Key, "\r\n")
 	}
-	if len(h.Body) > 0 {
-		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(h.Body)), int64(len(h.Body))
+	switch {
+	case length < 0:
+		add("Transfer-Encoding: chunked\r\n")
+	case length > 0 || h.Method != http.MethodGet:
+		add("Content-Length: ")
+		raw = strconv.AppendInt(raw, length, 10)
+		add("\r\n")
 	}
-	var raw bytes.Buffer
-	err := req.Write(&raw)
-	return raw.Bytes(), err
+	add("\r\n")
+	return raw
 }
 
 // read implements codec by the protocol's table of outcomes.
@@ -82,13 +94,13 @@
 		return saltmast.ConnectFailed, reply{at: time.Now()}
 	}
 	if b.Ping != "" {
-		return b.exchange(ctx, c, "", newProbeThrift(b.Ping, b.Protocol), cut)
+		return b.exchange(ctx, c, &core.Call{}, newProbeThrift(b.Ping, b.Protocol), cut)
 	}
 	path := "/healthz"
 	if b.terms.Load().reports != saltmast.ReportsNone {
 		path = "/load"
 	}
-	res, r := b.exchange(ctx, c, "", probeHTTP{path, c.RemoteAddr().String()}, cut)
+	res, r := b.exchange(ctx, c, &core.Call{}, probeHTTP{path, c.RemoteAddr().String()}, cut)
 	if path == "/load" && r.err == nil && r.header.Get(loadHeader) == "" {
 		r.header.Set(loadHeader, string(r.body))
 	}
--- a/internal/upstream/record.go
+++ b/internal/upstream/record.go
@@ -53,5 +53,5 @@
 		b.pool.close(c)
 		return saltmast.ConnectFailed, reply{at: time.Now()}
 	}
-	return b.exchange(ctx, c, q.ID, codecOf(q.Payload), cut)
+	return b.exchange(ctx, c, q, codecOf(q.Payload), cut)
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -96,8 +96,14 @@
 func (b *Backends) Attempt(ctx context.Context, q *core.Call, backend string, cut time.Time) core.Reply {
 	res, r := b.attempt(ctx, q, backend, cut)
 	reply := core.Reply{Result: res, At: r.at, Load: loadReport(r), Payload: r.body, Unrecorded: r.unrecorded}
-	if r.message != nil {
+	switch {
+	case r.message != nil:
 		reply.Payload = r.message
+	case r.stream != nil:
+		reply.Payload = r.stream
+	}
+	if h, ok := q.Payload.(*HTTP); ok && h.Coming != nil {
+		reply.Spent = h.Coming.Spent()
 	}
 	return reply
 }
@@ -123,7 +129,7 @@
 	if q.Record != nil && b.Journal != nil {
 		return b.recorded(ctx, c, q, backend, cut)
 	}
-	return b.exchange(ctx, c, q.ID, codecOf(q.Payload), cut)
+	return b.exchange(ctx, c, q, codecOf(q.Payload), cut)
 }
 
 // mayGo looks whether an attempt may still go out, right before its first byte, and gives its result if it may not.
@@ -160,23 +166,45 @@
 const staleAfter = 100 * time.Millisecond
 
 // exchange sends a request on c and reads the outcome off what comes back, by the protocol's table.
-func (b *Backends) exchange(ctx context.Context, c *conn, id string, m codec, cut time.Time) (saltmast.Result, reply) {
-	raw, err := m.encode(id, time.Until(cut))
-	if err != nil { // before any byte: what can't be written can't have run
-		b.pool.release(c)
-		return saltmast.NotSent, reply{at: time.Now(), err: err}
+func (b *Backends) exchange(ctx context.Context, c *conn, q *core.Call, m codec, cut time.Time) (saltmast.Result, reply) {
+	var raw []byte
+	h, passes := m.(*HTTP)
+	if passes = passes && h.Coming != nil; !passes {
+		var err error
+		if raw, err = m.encode(q.ID, time.Until(cut)); err != nil { // before any byte: what can't be written can't have run
+			b.pool.release(c)
+			return saltmast.NotSent, reply{at: time.Now(), err: err}
+		}
 	}
 	var idle time.Duration
 	if !c.since.IsZero() {
 		idle = time.Since(c.since)
 	}
-	r, written, again := send(ctx, c.Conn, raw, cut, b.terms.Load().stall, m.read)
-	if again {
-		b.pool.release(c)
+	var r reply
+	var written, again bool
+	stall := b.terms.Load().stall
+	if passes {
+		r, written, again = sendComing(ctx, c.Conn, q, h, cut, stall)
 	} else {
-		b.pool.close(c)
+		r, written, again = send(ctx, c.Conn, raw, cut, stall, m.read)
+	}
+	release := func(again bool) {
+		if again {
+			b.pool.release(c)
+		} else {
+			b.pool.close(c)
+		}
+	}
+	if s := r.stream; s != nil { // its connection is its own until it has gone on
+		s.free = func(whole bool) { release(s.a.release() && whole && again) }
+	} else {
+		release(again)
+	}
+	res := outcomeOf(r, written, ctx.Err() != nil)
+	if r.stream != nil && res != saltmast.OK {
+		r.stream.Close()
+		r.stream = nil
 	}
-	res := result(r, written, ctx.Err() != nil)
 	switch {
 	case res == saltmast.TimedOut:
 		// Idle connections to a machine that vanished would swallow requests that may not be sent
@@ -189,7 +217,7 @@
 		b.pool.closeIdleSince(c.group.backend, c.since)
 	}
 	if errors.Is(r.err, errMalformed) {
-		b.log.Warn("malformed answer", "backend", c.group.backend)
+		b.log.Warn("malformed answer", "backend", c.group.backend, "why", r.err)
 	} else if r.err == nil && r.odd != "" {
 		b.log.Warn("unexpected answer", "backend", c.group.backend, "answer", r.odd)
 	}
--- a/saltmast.go
+++ b/saltmast.go
@@ -64,14 +64,15 @@
 	limitGrow    = 0.7  // and its growth, in attempts per backend for each round of answers
 	floorPerBack = 4.0  // where it starts, for all agents together per backend, and the least it
 	// falls to: less would leave cores idle, and a start with more would crowd servers at once
-	backCap     = 3.0   // no backend holds more than so many mean shares of the limit
-	holdMargin  = 2.0   // a held request leaves when fewer than so many mean latencies remain to its aim
-	sparePlaces = 0.125 // of the requests that may be open, kept free for those to come
-	holdAtMost  = 0.75  // of the aim; a request may always be held for the rest of it
-	askFleet    = 64.0  // agents that may call the list as if they were few
-	askAtMost   = 2.0   // AskWithins over which a call comes again after a failed one: four are allowed
-	keptRules   = 8     // settings before the present ones that are kept for requests on their way
-	repeatValue = 0.1   // value of a client's repeat against a first try: most of its aim has passed
+	backCap     = 3.0       // no backend holds more than so many mean shares of the limit
+	holdMargin  = 2.0       // a held request leaves when fewer than so many mean latencies remain to its aim
+	sparePlaces = 0.125     // of the requests that may be open, kept free for those to come
+	holdAtMost  = 0.75      // of the aim; a request may always be held for the rest of it
+	askFleet    = 64.0      // agents that may call the list as if they were few
+	askAtMost   = 2.0       // AskWithins over which a call comes again after a failed one: four are allowed
+	comingFor   = time.Hour // a body may take no longer: the agent bounds it far below
+	keptRules   = 8         // settings before the present ones that are kept for requests on their way
+	repeatValue = 0.1       // value of a client's repeat against a first try: most of its aim has passed
 )
 
 // New returns a balancer with no state. All its random choices come from seed.
@@ -143,6 +144,8 @@
 			b.onRequest(e)
 		case Outcome:
 			b.onOutcome(e)
+		case Arrived:
+			b.onArrived(e)
 		case TimerFired:
 			b.onTimer(e.Token)
 		case List:
@@ -193,6 +196,9 @@
 		r.repeat = true
 		r.aim -= max(0, c.Deadline-e.Left)
 	}
+	if r.coming, r.left = e.Coming, e.Left; r.coming { // how long its body takes is its client's affair
+		r.deadline = b.now + comingFor
+	}
 	if !e.Repeat {
 		c.patience += min(max(off, -b.s.Tick/4), b.s.Tick/4) // towards the median
 	}
@@ -213,6 +219,23 @@
 	b.hold(r)
 }
 
+// onArrived begins the times of a request whose body has now gone out whole.
+func (b *Balancer) onArrived(e Arrived) {
+	r := b.requests[e.Request]
+	if r == nil || !r.coming {
+		return
+	}
+	r.coming = false
+	r.aim, r.deadline = b.now+min(r.c.Aim, r.left), b.now+r.left
+	for _, a := range r.attempts {
+		if a.open && a.coming { // its backend begins now: it is the latest there
+			a.coming, a.sent = false, b.now
+			a.b.drop(a)
+			a.b.out = append(a.b.out, a)
+		}
+	}
+}
+
 func (b *Balancer) onOutcome(e Outcome) {
 	r := b.requests[e.Request]
 	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || !r.attempts[e.Attempt].open {
@@ -223,6 +246,7 @@
 	r.open--
 	b.inFlight--
 	a.b.drop(a)
+	r.spent = r.spent || e.Spent
 	if e.Result == TimedOut || e.Result == Reset || e.Result == Cancelled {
 		r.rest = b.now + b.s.KeyRest
 	}
@@ -553,7 +577,7 @@
 		s = 1
 	}
 	for _, a := range t.out {
-		if a.sent > t.heard || t.cold {
+		if !a.coming && (a.sent > t.heard || t.cold) {
 			return max(s, float64(b.now-a.sent)/a.cost/2)
 		}
 	}
@@ -568,8 +592,12 @@
 func (b *Balancer) load(t *backend) float64 {
 	n := len(t.out)
 	for _, a := range t.out {
+		if a.coming { // it has nothing to do for this one yet
+			n--
+			continue
+		}
 		if a.sent > t.heard || t.cold {
-			break
+			continue
 		}
 		if b.now-a.sent > a.patience {
 			n--
@@ -599,8 +627,8 @@
 	l := b.expected(r)
 	wait := l * (1 + silentDevs*b.vary)
 	s := r.rules.s
-	if b.sparse(sparseBelow) && r.open == 1 && len(r.attempts) < s.MaxAttempts && s.SecondCopies &&
-		c.Effect != Unsafe && b.now+time.Duration(wait+l) <= r.aim {
+	if !r.coming && b.sparse(sparseBelow) && r.open == 1 && len(r.attempts) < s.MaxAttempts &&
+		s.SecondCopies && c.Effect != Unsafe && b.now+time.Duration(wait+l) <= r.aim {
 		b.timer(r, b.now+time.Duration(wait))
 	}
 }
@@ -638,7 +666,7 @@
 
 // mayRepeat is the repeat rule: whether a (further) attempt of r may go to t.
 func (b *Balancer) mayRepeat(r *request, t *backend) bool {
-	if r.ended || r.stream || len(r.attempts) >= r.rules.s.MaxAttempts ||
+	if r.ended || r.stream || r.spent || r.coming && r.open > 0 || len(r.attempts) >= r.rules.s.MaxAttempts ||
 		r.open > 0 && !(r.rules.s.SecondCopies && b.s.SecondCopies) {
 		return false
 	}
@@ -871,7 +899,12 @@
 // longer than a queue within the aims would explain. What hangs there must not use up the room of
 // a quiet agent, which would refuse all else until its client leaves.
 func (b *Balancer) silent(t *backend) bool {
-	return len(t.out) > 0 && t.lastOK < t.out[0].sent && b.now-t.out[0].sent > t.out[0].patience
+	for _, a := range t.out {
+		if !a.coming {
+			return t.lastOK < a.sent && b.now-a.sent > a.patience
+		}
+	}
+	return false
 }
 
 // healthy reports whether t may get r as ordinary traffic. After an ejection it
@@ -1002,7 +1035,7 @@
 			b.capacity += b.warmth(t)
 		}
 		for _, a := range t.out {
-			if !usable || b.now-a.sent > a.patience {
+			if !usable || a.coming || b.now-a.sent > a.patience {
 				b.stuck++
 			}
 		}
@@ -1130,7 +1163,8 @@
 		b.finish(r)
 		return
 	}
-	a := &attempt{b: t, sent: b.now, fresh: !b.isLinked(t), cost: max(b.expected(r), 1), open: true,
+	a := &attempt{b: t, sent: b.now, coming: r.coming, open: true, fresh: !b.isLinked(t),
+		cost:     max(b.expected(r), 1),
 		patience: time.Duration(max(silentAfter*float64(r.c.Aim), silentMeans*b.expected(r)))}
 	r.attempts = append(r.attempts, a)
 	r.open++
--- a/state.go
+++ b/state.go
@@ -112,6 +112,7 @@
 	patience time.Duration // without any answer of its backend for so long, that is silent
 	open     bool
 	fresh    bool // its backend was not in the working set
+	coming   bool // its request's body is still on its way: its backend has not begun
 }
 
 type request struct {
@@ -136,6 +137,9 @@
 	passed   bool     // found no backend in this step
 	holding  bool
 	stream   bool
+	coming   bool          // its body is still coming ...
+	left     time.Duration // ... and its client waits so long from its last byte
+	spent    bool          // its body can't be sent once more
 	ended    bool
 }
 
