--- a/api.go
+++ b/api.go
@@ -231,6 +231,8 @@
 		Settings Settings
 		From     []int
 	}
+	// Room says how many requests may be held open from now on, in place of what the settings say; 0: no limit.
+	Room struct{ MaxOpen int }
 	// StreamStarted says that the answer of an attempt has begun to reach the client.
 	StreamStarted struct {
 		Request string
@@ -336,6 +338,7 @@
 func (Outcome) event()       {}
 func (Maintenance) event()   {}
 func (Retune) event()        {}
+func (Room) event()          {}
 func (StreamStarted) event() {}
 func (Abandoned) event()     {}
 func (ProbeResult) event()   {}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -51,7 +51,10 @@
 	tuning      sync.Mutex     // orders reloads, and what shares out the limits
 	config      *config.Config // as last read
 	generation  uint64         // of its settings
-	processes   int            // of this agent that live
+	others      int            // processes of this agent that live beside this one
+	held        handover.Usage // by these
+	newcomer    bool           // they were there before
+	room        int            // requests that the modules may hold open, as last told
 	zones       atomic.Pointer[func(discovery.Listing, saltmast.ListKind) saltmast.List]
 	kinds       atomic.Pointer[[]string]
 	renumber    func(saltmast.Event) // tells the modules a list
@@ -92,7 +95,7 @@
 	known.Full = true
 	table := discovery.NewMembers()
 	table.Apply(known)
-	a := &Agent{table: table, log: log, acceptFor: acceptFor, config: c, processes: 1, clock: clock,
+	a := &Agent{table: table, log: log, acceptFor: acceptFor, config: c, clock: clock, room: c.OpenRequests(),
 		bodies: keep.New(c.BodyBytes(1), c.Passings(1))}
 	a.nameZones(c)
 	event := func(l discovery.Listing, kind saltmast.ListKind) saltmast.List { return (*a.zones.Load())(l, kind) }
@@ -124,7 +127,7 @@
 		}()
 	}
 
-	up := upstream.New(c.Settings, table, c.BackendConns(1)/share, log)
+	up := upstream.New(c.Settings, table, c.BackendConns()/share, log)
 	a.ups = append(a.ups, up)
 	var err error
 	if c.Operator != nil && c.Operator.Settles != nil {
@@ -165,7 +168,7 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	a.listener = listener
-	a.conns = conns.New(listener, c.ClientConns(1)/share)
+	a.conns = conns.New(listener, c.ClientConns()/share)
 	a.front = http.New(http.Options{Terms: httpTerms(c, c.Rules(0)), Loop: a.loop, Conns: a.conns, Serving: table.Any, Bodies: a.bodies, Log: log})
 	a.fronts = append(a.fronts, a.front)
 	return a, nil
@@ -187,7 +190,7 @@
 	if err != nil {
 		return err
 	}
-	upThrift := upstream.New(s, a.table, c.BackendConns(1)/2, log)
+	upThrift := upstream.New(s, a.table, c.BackendConns()/2, log)
 	upThrift.Ping, upThrift.Protocol = t.Ping, to
 	if a.journal != nil {
 		upThrift.Journal = a.journal
@@ -205,7 +208,7 @@
 	if err != nil {
 		return fmt.Errorf("thrift: listen: %w", err)
 	}
-	a.thrift = conns.New(listener, c.ClientConns(1)/2)
+	a.thrift = conns.New(listener, c.ClientConns()/2)
 	a.loops = append(a.loops, loop)
 	a.thriftFront = thriftfront.New(thriftfront.Options{Terms: thriftTerms(c, c.Rules(0)), Loop: loop,
 		Conns: a.thrift, To: to, Rejected: t.Rejected, Limits: thrift.Limits{Frame: t.FrameBytes}, Log: log})
--- a/internal/agent/retune.go
+++ b/internal/agent/retune.go
@@ -78,7 +78,7 @@
 	for _, up := range a.ups {
 		up.Retune(rules)
 	}
-	a.config = c
+	a.config, a.room = c, c.OpenRequests() // as the modules have it from the settings
 	a.share()
 	a.loop.Move(c.Discovery)
 	if !slices.Equal(before.Names.Zones, c.Names.Zones) || !slices.Equal(before.Names.Kinds, c.Names.Kinds) {
--- a/internal/agent/retune_test.go
+++ b/internal/agent/retune_test.go
@@ -69,6 +69,8 @@
 			t.Errorf("%s after the reload: %d, want %d", tt.path, resp.StatusCode, tt.want)
 		}
 	}
+	// Their class is dropped altogether while they are open: they go on by their own rules.
+	a.Reload(retuned(t, c, lists.Addr, servers, `"Name":"hold"`, `"Name":"held"`, `"TryLimit":3`, `"TryLimit":1`))
 	close(gate) // both attempts may have run
 	if got := receive(t, once); got != 502 {
 		t.Errorf("what must not run twice got %d", got)
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -28,6 +28,8 @@
 	freshFor = 2 * time.Second
 	// comeFor after a drain new clients still come: the front asks every 0.1 s, and sends for 0.2 s more.
 	comeFor = 600 * time.Millisecond
+	// spareBackends are the connections to backends that a process which leaves may keep beside one for each client.
+	spareBackends = 8
 	// quietFor is how long a connection has rested before a drain closes it, and quietStep how often that is looked at.
 	quietFor  = 100 * time.Millisecond
 	quietStep = 50 * time.Millisecond
@@ -35,14 +37,15 @@
 
 // service is what operators act on: it implements admin.Agent, and keeps what they said in the scratch folder.
 type service struct {
-	a      *Agent
-	server *admin.Server
-	folder *handover.Folder // nil: none
-	clock  core.Clock
-	ramp   time.Duration
-	began  time.Time
-	news   uint64 // listings applied before it began
-	log    *slog.Logger
+	a        *Agent
+	server   *admin.Server
+	folder   *handover.Folder // nil: none
+	clock    core.Clock
+	ramp     time.Duration
+	began    time.Time
+	news     uint64 // listings applied before it began
+	newcomer bool   // another process was there at its start, and still is
+	log      *slog.Logger
 
 	stopping atomic.Bool
 	drained  atomic.Int64 // Unix time in ns since when; 0: not
@@ -60,6 +63,8 @@
 			log.Warn("what operators say is not kept", "err", err)
 		} else {
 			s.folder = f
+			n, _ := f.Others()
+			s.newcomer = n > 0
 		}
 	}
 	if s.folder != nil {
@@ -119,27 +124,30 @@
 	}
 }
 
-// follow watches the folder: who lives, and what the other process was told.
+// follow watches the folder: who lives, what they hold, and what they were told.
 func (s *service) follow(ctx context.Context) {
 	if s.folder == nil {
 		return
 	}
 	tick := time.NewTicker(followEvery)
 	defer tick.Stop()
+	s.catchUp(ctx) // since it was read for the first time the other process may have been told more, and have gone
 	before := 0
 	for {
-		others := s.folder.Others()
+		s.folder.Publish(s.usage())
+		others, held := s.folder.Others()
+		if others > 0 || before > 0 {
+			s.a.divide(others, held, s.newcomer)
+			s.catchUp(ctx)
+		}
 		if others != before {
 			s.log.Info("processes of this agent", "others", others)
-			s.a.divide(1 + others)
-			if others == 0 {
-				if err := handover.Unsteer(s.a.listener); err != nil {
-					s.log.Warn("new connections may go astray at the next upgrade", "err", err)
-				}
-			}
 		}
-		if others > 0 || before > 0 {
-			s.catchUp(ctx)
+		if others == 0 && before > 0 {
+			s.newcomer = false
+			if err := handover.Unsteer(s.a.listener); err != nil {
+				s.log.Warn("new connections may go astray at the next upgrade", "err", err)
+			}
 		}
 		before = others
 		select {
@@ -150,8 +158,25 @@
 	}
 }
 
+// usage is what this process holds.
+func (s *service) usage() handover.Usage {
+	u := handover.Usage{Leaving: s.stopping.Load()}
+	for _, l := range s.a.clients() {
+		u.Clients += l.Open()
+	}
+	for _, up := range s.a.ups {
+		u.Backends += up.Open()
+	}
+	for _, l := range s.a.loops {
+		u.Requests += l.Taken()
+	}
+	return u
+}
+
 // catchUp takes over what the other process was told.
 func (s *service) catchUp(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, tellFor)
+	defer cancel()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state, err := s.folder.Load()
@@ -168,7 +193,7 @@
 	var n maintenance.State
 	var err error
 	if s.folder != nil {
-		if n, err = s.folder.Update(s.state, make); err != nil {
+		if n, err = s.folder.Update(s.state, make); err != nil && !errors.Is(err, admin.ErrUnknown) {
 			err = fmt.Errorf("not kept, so not done: %w", err)
 		}
 	} else {
@@ -199,9 +224,7 @@
 			up.Retire(c.ID)
 		}
 		for _, l := range s.a.loops {
-			if !l.Tell(ctx, s.event(c)) {
-				go l.Tell(context.Background(), s.event(c))
-			}
+			l.Tell(ctx, s.event(c))
 		}
 	}
 	if was != n.Drained {
@@ -291,25 +314,63 @@
 	return s.change(func(n maintenance.State) (maintenance.State, error) { return n.Drain(drained), nil })
 }
 
-// divide gives this process its part of what the agent may use, while so many processes are of it.
-func (a *Agent) divide(processes int) {
+// divide gives this process its part of what the agent may use, while others live that hold so much.
+func (a *Agent) divide(others int, held handover.Usage, newcomer bool) {
 	a.tuning.Lock()
 	defer a.tuning.Unlock()
-	a.processes = processes
+	a.others, a.held, a.newcomer = others, held, newcomer
 	a.share()
 }
 
+// split is how many descriptors this process may spend on connections: what those that leave still hold is theirs, and all else
+// this one's. Until then a newcomer has a quarter, since clients keep their connections to the one before. 0: no bound.
+func (a *Agent) split() int {
+	whole := a.config.Connections(1 + a.others)
+	switch {
+	case a.others == 0 || whole == 0:
+		return whole
+	case a.held.Leaving:
+		return max(2, whole-a.held.Clients-a.held.Backends)
+	case a.newcomer:
+		return max(2, whole/4)
+	}
+	return max(2, whole-whole/4)
+}
+
 // share sets the limits. The caller holds a.tuning.
+//
+// The modules count the requests of all processes: clients have places for so many in all. Seen at an upgrade in a crowd: each
+// of two processes kept its own eighth of the places free, and both together held more than there were. Seen there too: a
+// newcomer with half of the connections of each kind did not accept what clients opened anew, though the old process held few.
 func (a *Agent) share() {
+	c := a.config
+	clients, backends := config.Divide(a.split())
+	if a.service != nil && a.service.stopping.Load() && backends > 0 { // each client that it still has may ask once more
+		backends = min(backends, max(spareBackends, a.conns.Open()))
+	}
 	for _, l := range a.clients() {
-		l.SetLimit(a.config.ClientConns(a.processes) / len(a.clients()))
+		l.SetLimit(clients / len(a.clients()))
 	}
 	for _, up := range a.ups {
-		up.SetLimit(a.config.BackendConns(a.processes) / len(a.ups))
+		up.SetLimit(backends / len(a.ups))
+	}
+	a.bodies.Resize(c.BodyBytes(1+a.others), c.Passings(1+a.others))
+	if a.service == nil {
+		return
 	}
-	a.bodies.Resize(a.config.BodyBytes(a.processes), a.config.Passings(a.processes))
-	if a.config.MemoryMB > 0 && a.service != nil {
-		debug.SetMemoryLimit(config.HeapLimit(a.config.MemoryMB, a.processes))
+	if c.MemoryMB > 0 {
+		debug.SetMemoryLimit(config.HeapLimit(c.MemoryMB, 1+a.others))
+	}
+	open := c.OpenRequests()
+	if a.others > 0 && open > 0 {
+		open = max(open/8, open-a.held.Requests)
+	}
+	if open == a.room {
+		return
+	}
+	a.room = open
+	for _, l := range a.loops {
+		l.Post(saltmast.Room{MaxOpen: open / len(a.loops)})
 	}
 }
 
@@ -318,7 +379,11 @@
 // steer has new connections go to the newcomer, if there is one.
 func (s *service) steer() {
 	s.stopping.Store(true)
-	if s.folder == nil || s.folder.Others() == 0 {
+	if s.folder == nil {
+		return
+	}
+	s.folder.Publish(s.usage())
+	if n, _ := s.folder.Others(); n == 0 {
 		return
 	}
 	if err := handover.Steer(s.a.listener); err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -35,21 +35,31 @@
 // the second address, the list and files, and halves the rest while there are two.
 const callsRoom = 32
 
-// ClientConns and BackendConns share out the descriptors: half to clients, of whom more wait than are
-// out at backends when all is crowded; three eighths to backends. The rest is room. processes is how many of this agent live.
-func (c *Config) ClientConns(processes int) int { return c.part(processes, 4) }
+// Connections is how many descriptors may go to connections, of all processes of this agent together. 0: no bound. Without a
+// second address an eighth is room for all else.
+func (c *Config) Connections(processes int) int {
+	if c.Calls == "" || c.Sockets == 0 {
+		return c.Sockets * 7 / 8
+	}
+	return max(2*processes, c.Sockets-callsRoom*processes)
+}
 
-// BackendConns is the share of backends.
-func (c *Config) BackendConns(processes int) int { return c.part(processes, 3) }
+// Divide shares out connections: four sevenths to clients, of whom more wait than are out at backends when all is crowded, the
+// rest to backends.
+func Divide(connections int) (clients, backends int) {
+	return (connections*4 + 6) / 7, connections * 3 / 7
+}
 
-func (c *Config) part(processes, eighths int) int {
-	if c.Sockets == 0 {
-		return 0
-	}
-	if c.Calls == "" {
-		return c.Sockets * eighths / 8
-	}
-	return max(1, (c.Sockets/processes-callsRoom)*eighths/7)
+// ClientConns is how many connections clients may have while the agent is one process.
+func (c *Config) ClientConns() int {
+	n, _ := Divide(c.Connections(1))
+	return n
+}
+
+// BackendConns is the same for backends.
+func (c *Config) BackendConns() int {
+	_, n := Divide(c.Connections(1))
+	return n
 }
 
 // BodyBytes is how much memory bodies over 64 KiB may take while they are kept: an eighth of the limit, 16 MB without one.
@@ -62,7 +72,7 @@
 
 // Passings is how many requests may have bodies that pass at once: each holds a connection at a backend for as long as its
 // client takes, and short requests need the other half.
-func (c *Config) Passings(processes int) int { return (c.BackendConns(processes) + 1) / 2 }
+func (c *Config) Passings(processes int) int { return (c.BackendConns()/processes + 1) / 2 }
 
 // HeapLimit is the collector's bound in bytes under a limit on memory: the program itself counts too, once for each process.
 func HeapLimit(memoryMB, processes int) int64 {
--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -138,6 +138,13 @@
 	}
 }
 
+// Open is how many it has given out that are open.
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open
+}
+
 // Limit is how many it gives out; 0: no bound.
 func (l *Listener) Limit() int {
 	l.mu.Lock()
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"runtime/debug"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -46,7 +47,7 @@
 	log    *slog.Logger
 	admit  func() (time.Duration, bool)
 	in     chan any
-	urgent chan told     // operators' events: they pass what waits in in
+	urgent chan struct{} // holds one while queue may hold some
 	done   chan struct{} // closed when Run returns
 	ready  chan struct{} // closed after the first step
 
@@ -55,11 +56,16 @@
 	last    time.Duration // time of the last step
 	pending []saltmast.Event
 	heard   []chan struct{} // closed after the next step
-	timers  timers
-	seq     int // of timers
-	open    map[string]*Request
-	taken   int           // requests without a final answer
-	until   time.Duration // when draining: no answer comes later; 0: not draining
+
+	mu    sync.Mutex
+	queue []told // operators' events, in their order: they pass what waits in in
+
+	timers timers
+	seq    int // of timers
+	open   map[string]*Request
+	taken  int           // requests without a final answer
+	count  atomic.Int64  // the same, for others
+	until  time.Duration // when draining: no answer comes later; 0: not draining
 }
 
 // Call is what an Upstream needs to know of a request. Payload is the front's and the upstream's affair.
@@ -106,6 +112,9 @@
 	net      *timer // the safety net, until it has ended
 }
 
+// Taken is how many requests have no final answer yet.
+func (l *Loop) Taken() int { return int(l.count.Load()) }
+
 // NewRequest returns a request whose last byte came at arrived. It keeps rules, those that its front took it by, whatever
 // comes later. event.Left says how long its client waits from then.
 func (l *Loop) NewRequest(rules *saltmast.Settings, event saltmast.Request, arrived time.Time, payload any) *Request {
@@ -227,7 +236,7 @@
 		}
 		o.Decider = bal
 	}
-	return &Loop{admit: o.Admit, clock: o.Clock, s: &o.Settings, bal: o.Decider, log: o.Log, in: make(chan any, 1024), urgent: make(chan told), work: work.New(), done: make(chan struct{}),
+	return &Loop{admit: o.Admit, clock: o.Clock, s: &o.Settings, bal: o.Decider, log: o.Log, in: make(chan any, 1024), urgent: make(chan struct{}, 1), work: work.New(), done: make(chan struct{}),
 		ready: make(chan struct{}), open: map[string]*Request{}, last: o.Clock.Now() - o.Settings.Tick,
 		pending: append([]saltmast.Event{o.Known}, o.First...)}, nil
 }
@@ -256,7 +265,8 @@
 // Done is closed when the loop has ended.
 func (l *Loop) Done() <-chan struct{} { return l.done }
 
-// Tell hands the module an event ahead of all that waits, and returns once the module has taken it; false: ctx ended before.
+// Tell hands the module an event ahead of all that waits, and returns once the module has taken it; false: ctx ended before,
+// and it takes it later, in the order of the calls.
 func (l *Loop) Tell(ctx context.Context, e saltmast.Event) bool {
 	return l.tell(ctx, told{event: e, done: make(chan struct{})})
 }
@@ -270,12 +280,12 @@
 }
 
 func (l *Loop) tell(ctx context.Context, m told) bool {
+	l.mu.Lock()
+	l.queue = append(l.queue, m)
+	l.mu.Unlock()
 	select {
-	case l.urgent <- m:
-	case <-l.done:
-		return true
-	case <-ctx.Done():
-		return false
+	case l.urgent <- struct{}{}:
+	default:
 	}
 	select {
 	case <-m.done:
@@ -319,15 +329,15 @@
 		case <-ctx.Done():
 			return
 		case <-wake.C:
-		case m := <-l.urgent:
-			l.hear(m)
+		case <-l.urgent:
+			l.hear()
 		case m := <-l.in:
 			l.take(m)
 		}
 		for more := true; more; {
 			select {
-			case m := <-l.urgent:
-				l.hear(m)
+			case <-l.urgent:
+				l.hear()
 			default:
 			}
 			select {
@@ -349,13 +359,19 @@
 	l.work.Close()
 }
 
-// hear notes an operators' event.
-func (l *Loop) hear(m told) {
-	if m.rules != nil {
-		l.s = m.rules
+// hear notes operators' events.
+func (l *Loop) hear() {
+	l.mu.Lock()
+	queue := l.queue
+	l.queue = nil
+	l.mu.Unlock()
+	for _, m := range queue {
+		if m.rules != nil {
+			l.s = m.rules
+		}
+		l.pending = append(l.pending, m.event)
+		l.heard = append(l.heard, m.done)
 	}
-	l.pending = append(l.pending, m.event)
-	l.heard = append(l.heard, m.done)
 }
 
 // take notes what happened; the module hears of it in the next step.
@@ -411,6 +427,7 @@
 	}
 	l.open[r.ID] = r
 	l.taken++
+	l.count.Store(int64(l.taken))
 	l.guard(r)
 	l.pending = append(l.pending, r.event)
 }
@@ -451,6 +468,7 @@
 	r.End()
 	l.unguard(r)
 	l.taken--
+	l.count.Store(int64(l.taken))
 	l.forget(r)
 }
 
--- a/internal/front/http/conn.go
+++ b/internal/front/http/conn.go
@@ -121,12 +121,12 @@
 	var stopped atomic.Bool
 	c.timing = false
 	c.SetReadDeadline(time.Time{})
-	go func() {
+	c.f.work.Go(func() {
 		defer close(ended)
 		if _, err := c.in.Peek(1); err != nil && !stopped.Load() {
 			close(left)
 		}
-	}()
+	})
 	return left, func() {
 		stopped.Store(true)
 		c.SetReadDeadline(time.Unix(1, 0))
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -13,6 +13,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"strconv"
 	"strings"
@@ -26,6 +27,7 @@
 	"saltmast/internal/core"
 	"saltmast/internal/keep"
 	"saltmast/internal/upstream"
+	"saltmast/internal/work"
 )
 
 // maxBudget is the longest that a client may be willing to wait.
@@ -44,6 +46,7 @@
 	drained  atomic.Bool // operators have drained it
 
 	mu      sync.Mutex
+	work    *work.Pool // of watches of clients
 	open    map[*conn]bool
 	ended   bool
 	running sync.WaitGroup
@@ -81,7 +84,7 @@
 
 // New returns a front that serves once Serve is called.
 func New(o Options) *Front {
-	f := &Front{loop: o.Loop, conns: o.Conns, serving: o.Serving, bodies: o.Bodies, log: o.Log, Idle: idleTime, open: map[*conn]bool{}}
+	f := &Front{loop: o.Loop, conns: o.Conns, serving: o.Serving, bodies: o.Bodies, log: o.Log, Idle: idleTime, work: work.New(), open: map[*conn]bool{}}
 	f.Retune(o.Terms)
 	return f
 }
@@ -126,6 +129,11 @@
 		f.conns.Rest(nc)
 		go func() {
 			defer f.running.Done()
+			defer func() {
+				if p := recover(); p != nil { // costs a connection and no more
+					f.log.Error("bug: the front panicked", "panic", fmt.Sprint(p), "stack", strings.ReplaceAll(string(debug.Stack()), "\n", " | "))
+				}
+			}()
 			c.serve()
 			f.mu.Lock()
 			delete(f.open, c)
@@ -176,6 +184,7 @@
 	go func() { f.running.Wait(); close(done) }()
 	select {
 	case <-done:
+		f.work.Close()
 	case <-time.After(stopStep): // an answer that passes may wait for its backend
 	}
 	return nil
--- a/internal/handover/store.go
+++ b/internal/handover/store.go
@@ -58,13 +58,38 @@
 	return f.life.Close()
 }
 
-// Others counts the other processes of this agent that live, and sweeps what dead ones left.
-func (f *Folder) Others() int {
+// Usage is what a process holds of what all processes of its agent share.
+type Usage struct {
+	Leaving                     bool // it takes no more
+	Clients, Backends, Requests int  // connections of clients, to backends, and requests without an answer
+}
+
+// Publish tells the others what this process holds.
+func (f *Folder) Publish(u Usage) error {
+	line := fmt.Sprintf("%-5t %9d %9d %9d\n", u.Leaving, u.Clients, u.Backends, u.Requests) // of one length: it is written over
+	_, err := f.life.WriteAt([]byte(line), 0)
+	return err
+}
+
+// usageOf reads what a process has published; nothing, or half a line: it has published nothing yet.
+func usageOf(file *os.File) (u Usage) {
+	var line [64]byte
+	n, _ := file.ReadAt(line[:], 0)
+	var got Usage
+	if _, err := fmt.Sscan(string(line[:n]), &got.Leaving, &got.Clients, &got.Backends, &got.Requests); err == nil {
+		u = got
+	}
+	return u
+}
+
+// Others counts the other processes of this agent that live, sums up what they hold, and sweeps what dead ones left. They are
+// leaving if all of them are.
+func (f *Folder) Others() (n int, held Usage) {
+	held.Leaving = true
 	entries, err := os.ReadDir(f.dir)
 	if err != nil {
-		return 0
+		return 0, held
 	}
-	n := 0
 	for _, e := range entries {
 		name := filepath.Join(f.dir, e.Name())
 		if !strings.HasPrefix(e.Name(), lifeMark) || name == f.life.Name() {
@@ -77,11 +102,16 @@
 		if syscall.Flock(int(other.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) == nil {
 			os.Remove(name)
 		} else {
+			u := usageOf(other)
 			n++
+			held.Leaving = held.Leaving && u.Leaving
+			held.Clients += u.Clients
+			held.Backends += u.Backends
+			held.Requests += u.Requests
 		}
 		other.Close()
 	}
-	return n
+	return n, held
 }
 
 // Load reads the state. None is there: the zero state. An error: it can't be believed.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -89,6 +89,13 @@
 // SetLimit bounds the connections that are open from now on; 0: no bound. Beyond it idle ones close.
 func (b *Backends) SetLimit(connections int) { b.pool.setLimit(connections) }
 
+// Open is how many connections are open.
+func (b *Backends) Open() int {
+	b.pool.mu.Lock()
+	defer b.pool.mu.Unlock()
+	return b.pool.open
+}
+
 // CloseIdle closes the idle connections to a backend.
 func (b *Backends) CloseIdle(backend string) { b.pool.closeIdle(backend) }
 
--- a/retune_test.go
+++ b/retune_test.go
@@ -175,3 +175,62 @@
 		t.Error("settings without a class were taken")
 	}
 }
+
+// A body that is still coming is no work for its backend yet: however long it takes, that is neither silent, nor slow, nor
+// full. Its request's times count from its last byte, and it is sent once.
+func TestComing(t *testing.T) {
+	newBalancer := func() *Balancer {
+		b, err := New(Settings{Balancers: 1, MaxAttempts: 3, SecondCopies: true, ConnectTimeout: 250 * time.Millisecond,
+			Classes: []Class{{Aim: time.Second, Deadline: 3 * time.Second, Worth: 1}}}, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Step(time.Hour, []Event{List{Kind: ListFull, Backends: []Backend{{ID: "s0"}}}})
+		return b
+	}
+	now := time.Hour
+	b := newBalancer()
+	if to := sendsOf(b.Step(now, []Event{Request{ID: "big", Left: 2 * time.Second, Coming: true}})); len(to) != 1 {
+		t.Fatalf("sent to %v", to)
+	}
+	now += time.Minute
+	b.Step(now, nil)
+	s0 := b.byID["s0"]
+	if b.silent(s0) || b.slowness(s0) != 1 || b.load(s0) != 0 || b.inFlight-b.stuck != 0 {
+		t.Errorf("silent %v, slowness %v, load %v, %d count as in flight", b.silent(s0), b.slowness(s0), b.load(s0), b.inFlight-b.stuck)
+	}
+	if to := sendsOf(b.Step(now, []Event{Request{ID: "small", Left: time.Second}})); len(to) != 1 {
+		t.Errorf("beside it %v", to)
+	}
+	b.Step(now, []Event{Arrived{Request: "big"}})
+	if r := b.requests["big"]; r.deadline != now+2*time.Second || r.aim != now+time.Second || b.load(s0) != 2 {
+		t.Errorf("deadline %v, aim %v after its last byte; load %v", r.deadline-now, r.aim-now, b.load(s0))
+	}
+
+	for _, tt := range []struct {
+		result Result
+		spent  bool
+		want   string // "": tried again
+	}{
+		{ConnectFailed, true, "refused"}, {Reset, true, "failed"}, {Full, true, "refused"}, {NotSent, true, "refused"},
+		{ConnectFailed, false, ""}, {Reset, false, ""},
+	} {
+		b := newBalancer()
+		b.Step(now, []Event{Request{ID: "big", Left: 2 * time.Second, Coming: true}})
+		got := ""
+		for _, a := range b.Step(now+time.Second/2, []Event{Outcome{Request: "big", Backend: "s0", Result: tt.result, Spent: tt.spent}}) {
+			switch a.(type) {
+			case Refuse:
+				got = "refused"
+			case Fail:
+				got = "failed"
+			}
+		}
+		if got != tt.want {
+			t.Errorf("result %d, spent %v: %q, want %q", tt.result, tt.spent, got, tt.want)
+		}
+		if tokens := b.tokens; tt.spent && tokens != bucketCap {
+			t.Errorf("result %d: a token was spent for a retry that can't go out", tt.result)
+		}
+	}
+}
--- a/saltmast.go
+++ b/saltmast.go
@@ -115,7 +115,7 @@
 		idle := func(r *rules) bool { return r.open == 0 }
 		b.rules = append(slices.DeleteFunc(slices.Clone(old), idle), recent...)
 	}
-	b.s, b.classes = n.s, n.classes
+	b.s, b.classes, b.maxOpen = n.s, n.classes, s.MaxOpen
 	for _, t := range b.backends {
 		maps.DeleteFunc(t.shuns, func(c *classState, _ shun) bool { return !slices.Contains(b.classes, c) })
 	}
@@ -156,6 +156,8 @@
 				b.adopt(e.Settings, e.From)
 				b.measure()
 			}
+		case Room:
+			b.maxOpen = e.MaxOpen
 		case Maintenance:
 			b.onMaintenance(e)
 			b.measure()
@@ -396,7 +398,7 @@
 // what comes next is turned away unseen, whatever it is worth: 700 of 7,700 on the day of the report. Harm:
 // of a burst that would be over at once some are given up that could have been served.
 func (b *Balancer) keepSpare() {
-	for b.s.MaxOpen > 0 && float64(b.taken) > (1-sparePlaces)*float64(b.s.MaxOpen) && len(b.held) > 0 {
+	for b.maxOpen > 0 && float64(b.taken) > (1-sparePlaces)*float64(b.maxOpen) && len(b.held) > 0 {
 		worst := b.held[0]
 		for _, r := range b.held {
 			if b.heldValue(r) < b.heldValue(worst) {
--- a/state.go
+++ b/state.go
@@ -20,6 +20,7 @@
 	byID      map[string]*backend
 	withdrawn map[string]bool // backends that operators have taken out, listed or not
 	requests  map[string]*request
+	maxOpen   int              // requests that may be open; 0: no limit
 	taken     int              // requests that have no final answer yet
 	held      []*request       // waiting for room, oldest first
 	lines     map[string]*line // of ordered requests, by key
