Thrift's listener is shared and steered at an upgrade as the clients' is

Need: with a Thrift front a newcomer could not start beside the old process (its address was taken). Change: one way to listen for both fronts; steering, emptying and its end go over all listeners. Test: a newcomer with Thrift beside an old one, served after.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -65,9 +66,9 @@
 	clock       core.Clock
 	thriftFront *thriftfront.Front // nil: off
 
-	bodies   *keep.Account
-	service  *service     // nil: no second address
-	listener net.Listener // the clients' own
+	bodies    *keep.Account
+	service   *service       // nil: no second address
+	listeners []net.Listener // the clients' own, of all fronts
 
 	acceptFor time.Duration // see the constant
 }
@@ -160,18 +161,13 @@
 	} else if err := a.addThrift(c, t, options, first, clock, up, decide, ofHTTP, ofThrift); err != nil {
 		return nil, err
 	}
-	listen := func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
-	if a.service != nil { // the next version starts beside this one
-		listen = handover.Listen
-	}
-	listener, err := listen(c.Listen)
+	listener, err := a.listen(c.Listen)
 	if err != nil {
 		if a.thrift != nil {
 			a.thrift.Close()
 		}
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	a.listener = listener
 	a.conns = conns.New(listener, c.ClientConns()/share)
 	a.conns.Beside = up.Lent
 	a.front = http.New(http.Options{Terms: httpTerms(c, c.Rules(0)), Loop: a.loop, Conns: a.conns, Serving: table.Any, Bodies: a.bodies, Log: log})
@@ -179,6 +175,24 @@
 	return a, nil
 }
 
+// listen listens for clients. Where staff can call, the next version may start beside this one.
+func (a *Agent) listen(addr string) (l net.Listener, err error) {
+	if a.service != nil {
+		l, err = handover.Listen(addr)
+	} else {
+		l, err = net.Listen("tcp", addr)
+	}
+	if err == nil {
+		a.listeners = append(a.listeners, l)
+	}
+	return l, err
+}
+
+// empty reports whether no client waits in a listener's queue.
+func (a *Agent) empty() bool {
+	return !slices.ContainsFunc(a.listeners, func(l net.Listener) bool { return !handover.Empty(l) })
+}
+
 // addThrift adds the front for Thrift callers, with a loop, a module and connections of its own for the servers that
 // speak it. Both loops follow one list.
 func (a *Agent) addThrift(c *config.Config, t *config.Thrift, o discovery.Options, first saltmast.List, clock core.Clock,
@@ -209,7 +223,7 @@
 	shared.Drive(list)
 	a.loop.Connect(up, shared.Follow(ofHTTP, a.loop.Post))
 	loop.Connect(upThrift, shared.Follow(ofThrift, loop.Post))
-	listener, err := net.Listen("tcp", t.Listen)
+	listener, err := a.listen(t.Listen)
 	if err != nil {
 		return fmt.Errorf("thrift: listen: %w", err)
 	}
@@ -306,7 +320,7 @@
 		return fmt.Errorf("serving: %w", err)
 	case <-time.After(a.acceptFor):
 	}
-	for end := time.Now().Add(emptyFor); !handover.Empty(a.listener) && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(emptyFor); !a.empty() && time.Now().Before(end); time.Sleep(time.Millisecond) {
 	}
 	bound, done := context.WithTimeout(ctx, core.DrainFor-a.acceptFor+answerFor)
 	defer done()
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -145,8 +145,10 @@
 		}
 		if others == 0 && before > 0 {
 			s.newcomer = false
-			if err := handover.Unsteer(s.a.listener); err != nil {
-				s.log.Warn("new connections may go astray at the next upgrade", "err", err)
+			for _, l := range s.a.listeners {
+				if err := handover.Unsteer(l); err != nil {
+					s.log.Warn("new connections may go astray at the next upgrade", "err", err)
+				}
 			}
 		}
 		before = others
@@ -386,7 +388,9 @@
 	if n, _ := s.folder.Others(); n == 0 {
 		return
 	}
-	if err := handover.Steer(s.a.listener); err != nil {
-		s.log.Warn("new connections are not steered to the newcomer", "err", err)
+	for _, l := range s.a.listeners {
+		if err := handover.Steer(l); err != nil {
+			s.log.Warn("new connections are not steered to the newcomer", "err", err)
+		}
 	}
 }
--- a/internal/agent/service_test.go
+++ b/internal/agent/service_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"saltmast/internal/config"
+	"saltmast/internal/rig"
 )
 
 // operated is a configuration with a second address and a scratch folder.
@@ -396,3 +397,22 @@
 		t.Fatal(err)
 	}
 }
+
+// Both listeners are shared: a newcomer with a front for Thrift starts beside one that has it too, and serves once that is gone.
+func TestThriftUpgrade(t *testing.T) {
+	t.Parallel()
+	c := thriftConfig(t, rig.NewThriftPeer(t, thriftEcho).Addr())
+	c.Calls, c.Scratch = "127.0.0.1:0", t.TempDir()
+	old := launch(t, c)
+	servedThrift(t, rawThrift(t, old.Agent), "before")
+	n := beside(c, old)
+	operator, front := *c.Operator, *c.Operator.Thrift
+	front.Listen = old.ThriftAddr().String()
+	operator.Thrift = &front
+	n.Operator = &operator
+	newcomer := launch(t, n)
+	until(t, "the newcomer to be ready", func() bool { return say(t, newcomer.Agent, "GET", "/-/ready") == 200 })
+	old.leave(t)
+	servedThrift(t, rawThrift(t, newcomer.Agent), "after")
+	newcomer.leave(t)
+}
