--- a/internal/agent/service_test.go
+++ b/internal/agent/service_test.go
@@ -416,3 +416,36 @@
 	servedThrift(t, rawThrift(t, newcomer.Agent), "after")
 	newcomer.leave(t)
 }
+
+// A backend is taken out while a request to it is half written: that one ends there, and nothing new goes to it.
+func TestBackendOutWhileHalfWritten(t *testing.T) {
+	t.Parallel()
+	const size = 1 << 20
+	came := make(chan struct{}, 20)
+	addr := rawPeer(t, func(c net.Conn, in *bufio.Reader) {
+		came <- struct{}{}
+		io.CopyN(io.Discard, in, size)
+		io.WriteString(c, "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n")
+	})
+	c := operated(t, newLists(t).Addr, entry("s0", addr, "SERVING"))
+	c.MemoryMB = 8 // it passes
+	a, _ := start(t, c, nil)
+	half := big(t, a, 1, size, "7000")
+	half.Write(make([]byte, size/2))
+	receive(t, came)
+	if got := say(t, a, "POST", "/-/backends/s0/disable"); got != 200 {
+		t.Fatalf("status %d", got)
+	}
+	for i := range 5 {
+		if resp, _ := ask(t, a, "GET", "/look", "", "X-Call-Id", idOf(10+i), "X-Budget-Ms", "7000"); resp.StatusCode != 503 {
+			t.Errorf("with the only backend out: status %d", resp.StatusCode)
+		}
+	}
+	half.Write(make([]byte, size/2))
+	if got := status(t, half); got != 200 {
+		t.Errorf("the half written one got %d", got)
+	}
+	if len(came) != 0 {
+		t.Errorf("%d went to a backend that is out", len(came))
+	}
+}
