--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -134,8 +134,10 @@
 	s.catchUp(ctx) // since it was read for the first time the other process may have been told more, and have gone
 	before := 0
 	for {
-		s.folder.Publish(s.usage())
 		others, held := s.folder.Others()
+		if others > 0 { // alone, nobody reads it
+			s.folder.Publish(s.usage())
+		}
 		if others > 0 || before > 0 {
 			s.a.divide(others, held, s.newcomer)
 			s.catchUp(ctx)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,7 +32,7 @@
 }
 
 // An agent with a second address runs twice during an upgrade, both processes within one bound: each keeps some room for
-// the second address, the list and files, and halves the rest while there are two.
+// the second address, the list and files.
 const callsRoom = 32
 
 // Connections is how many descriptors may go to connections, of all processes of this agent together. 0: no bound. Without a
@@ -150,6 +150,9 @@
 	if c.raw, err = rawOf(raw); err != nil {
 		return nil, err
 	}
+	if _, ok := c.raw["known"]; ok {
+		c.raw["known"] = true // that it is there is all that a reload looks at
+	}
 	if err := c.checkRaw(); err != nil {
 		return nil, err
 	}
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -103,12 +103,7 @@
 	for {
 		nc, err := f.conns.Accept()
 		if err != nil {
-			f.mu.Lock()
-			ended := f.ended
-			f.mu.Unlock()
-			var ne net.Error
-			if !ended && errors.As(err, &ne) && ne.Timeout() || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
-				errors.Is(err, syscall.ECONNABORTED) {
+			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED) {
 				f.log.Warn("no connection was accepted", "err", err)
 				time.Sleep(acceptPause) // of descriptors: some are given back soon
 				continue
