Shared state: counts as a join, a budget as lent rights, explored whole

Need: agents shared nothing but the list, and the on-call group wants budgets and counts over all of them that stay within bounds when a part hears nothing. Change: internal/shared (no I/O): Value, counts by window of a turn that needs no clock, a join; Holder, rights to a budget that are lent by lease; one codec. internal/model/explore visits every state of three holders, with loss, repeats, late messages and a restart. First try: asks beyond the budget were taken for nonsense by the lender, so nothing was ever lent and no mistake could show; the mistakes told.

--- a/check.sh
+++ b/check.sh
@@ -17,6 +17,7 @@
 go test -run='^$' -fuzz=FuzzReaders -fuzztime=20000x ./internal/recording
 go test -run='^$' -fuzz=FuzzHead -fuzztime=20000x ./internal/front/http
 go test -run='^$' -fuzz=FuzzDecode -fuzztime=20000x ./internal/maintenance
+go test -run='^$' -fuzz=FuzzDecode -fuzztime=20000x ./internal/shared
 # Rehearsals watch their own lateness and play again what the machine was too busy for, and whole agents take a standstill of
 # the machine for one of their backends: they get it to themselves.
 go test -count=1 -race $(go list ./internal/... ./cmd/... | grep -v -e /rehearsal$ -e /latchkit$ -e /agent$)
--- /dev/null
+++ b/internal/shared/wrong.go
@@ -0,0 +1,24 @@
+package shared
+
+import "time"
+
+// Wrong is a mistake on purpose, so that checks can be seen to find it. Nothing that is configured sets one.
+type Wrong uint8
+
+// The mistakes.
+const (
+	Right        Wrong = iota
+	LenderClock        // a borrower judges its lease by the time that the lender's clock showed
+	TakesSilent        // a lender takes back what it lent to one that it does not hear
+	AppliesTwice       // a grant that comes twice counts twice
+)
+
+// Mistakes are all of them, by name.
+var Mistakes = map[string]Wrong{"lender-clock": LenderClock, "takes-silent": TakesSilent, "applies-twice": AppliesTwice}
+
+// NewWrong returns a holder that makes a mistake.
+func NewWrong(self Agent, b Budget, now time.Duration, w Wrong) *Holder {
+	h := NewHolder(self, b, now)
+	h.wrong = w
+	return h
+}
