Agents share counts and a retry budget: internal/peers, a network between, one path

Change: internal/peers on memberlist, [peers] in the operator's file (off without it), /-/peers and /-/shared, counts and the budget's gate in internal/core, an Allowance in the module that only takes away, internal/standin/between (forwarders at advertised addresses: cut one way or both, delay, loss, repeats, trickle, reset, UDP and TCP), rehearsals with peers: halt, wake, kill, start of members, and what servers counted.

--- a/api.go
+++ b/api.go
@@ -233,6 +233,9 @@
 	}
 	// Room says how many requests may be held open from now on, in place of what the settings say; 0: no limit.
 	Room struct{ MaxOpen int }
+	// Allowance says how many retries may begin or be on their way from now on, by what agents share; it takes away from
+	// what the private bucket allows, and adds nothing. Until it is told there is no such bound.
+	Allowance struct{ Retries int }
 	// StreamStarted says that the answer of an attempt has begun to reach the client.
 	StreamStarted struct {
 		Request string
@@ -328,6 +331,8 @@
 	FetchList struct{}
 	// CloseIdle closes the idle connections to a backend.
 	CloseIdle struct{ Backend string }
+	// Short says that a retry was wanted and not begun since the Allowance is used up.
+	Short struct{ Request string }
 	// Note is a line for the operators' log.
 	Note struct{ Text string }
 )
@@ -339,6 +344,7 @@
 func (Maintenance) event()   {}
 func (Retune) event()        {}
 func (Room) event()          {}
+func (Allowance) event()     {}
 func (StreamStarted) event() {}
 func (Abandoned) event()     {}
 func (ProbeResult) event()   {}
@@ -356,4 +362,5 @@
 func (Unsubscribe) action() {}
 func (FetchList) action()   {}
 func (CloseIdle) action()   {}
+func (Short) action()       {}
 func (Note) action()        {}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -6,6 +6,7 @@
 import (
 	"container/list"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -45,6 +46,7 @@
 	http     *http.Server
 	listener *listener
 	agent    Agent
+	shown    map[string]func() any // by path: answered as JSON
 	log      *slog.Logger
 }
 
@@ -62,6 +64,14 @@
 	return s, nil
 }
 
+// Show has a GET of a path answered with what show returns, as JSON. It is called before Serve.
+func (s *Server) Show(path string, show func() any) {
+	if s.shown == nil {
+		s.shown = map[string]func() any{}
+	}
+	s.shown[path] = show
+}
+
 // connKey is that of a call's connection.
 type connKey struct{}
 
@@ -94,12 +104,25 @@
 	}
 	io.CopyN(io.Discard, r.Body, maxBody) // a body says nothing here
 	want, do, known := s.call(r.URL.EscapedPath())
+	show := s.shown[r.URL.EscapedPath()]
+	if show != nil {
+		want, known = http.MethodGet, true
+	}
 	switch {
 	case !known:
 		answer(w, http.StatusNotFound, "no such call")
 	case r.Method != want && !(want == http.MethodGet && r.Method == http.MethodHead):
 		w.Header().Set("Allow", want)
 		answer(w, http.StatusMethodNotAllowed, want+" wanted")
+	case show != nil:
+		raw, err := json.Marshal(show())
+		if err != nil {
+			answer(w, http.StatusInternalServerError, err.Error())
+			return
+		}
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Content-Type", "application/json")
+		w.Write(append(raw, '\n'))
 	default:
 		err := do()
 		switch {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -22,6 +22,7 @@
 	thriftfront "saltmast/internal/front/thrift"
 	"saltmast/internal/handover"
 	"saltmast/internal/keep"
+	"saltmast/internal/peers"
 	settleslog "saltmast/internal/settles/log"
 	"saltmast/internal/thrift"
 	"saltmast/internal/upstream"
@@ -50,6 +51,7 @@
 	log    *slog.Logger
 
 	journal *settleslog.Writer // nil: off
+	peers   *peers.Peers       // nil: off
 	ups     []*upstream.Backends
 	follow  func(context.Context) // keeps a list that is pushed; nil: the module asks for it
 
@@ -119,6 +121,16 @@
 	}
 	ofHTTP := func(b saltmast.Backend) bool { return !ofThrift(b) }
 
+	if c.Operator != nil && c.Operator.Peers != nil {
+		if err := a.openPeers(c); err != nil {
+			return nil, err
+		}
+		defer func() {
+			if a.front == nil { // what follows failed
+				a.peers.Close()
+			}
+		}()
+	}
 	if c.Calls != "" {
 		s, err := newService(a, c, clock, log)
 		if err != nil {
@@ -147,7 +159,7 @@
 		}()
 	}
 	a.loop, err = core.New(core.Options{Settings: c.Settings, OpenRequests: c.OpenRequests() / share, Seed: c.Seed, Clock: clock, Log: log,
-		Known: discovery.Part(first, ofHTTP), First: a.told(), Decider: decide, Admit: a.admit()})
+		Known: discovery.Part(first, ofHTTP), First: a.told(), Decider: decide, Admit: a.admit(), Fleet: a.fleet()})
 	if err != nil {
 		return nil, err
 	}
@@ -205,7 +217,7 @@
 	s.MayProbe = s.MayProbe && t.Ping != ""
 	log := a.log.With("protocol", "thrift")
 	loop, err := core.New(core.Options{Settings: s, OpenRequests: c.OpenRequests() / 2, Seed: c.Seed + 1, Clock: clock, Log: log,
-		Known: discovery.Part(first, ofThrift), First: a.told(), Decider: decide, Admit: a.admit()})
+		Known: discovery.Part(first, ofThrift), First: a.told(), Decider: decide, Admit: a.admit(), Fleet: a.fleet()})
 	if err != nil {
 		return err
 	}
@@ -284,6 +296,7 @@
 	defer func() {
 		cancel()
 		a.closeJournal()
+		a.closePeers()
 	}()
 	for _, l := range a.loops {
 		go l.Run(ctx)
@@ -291,6 +304,9 @@
 	if a.follow != nil {
 		a.follow(ctx)
 	}
+	if a.peers != nil {
+		go a.peers.Run(ctx)
+	}
 	a.recall(ctx)
 	if a.service != nil {
 		a.service.run(ctx)
--- a/internal/agent/retune.go
+++ b/internal/agent/retune.go
@@ -64,6 +64,9 @@
 	a.generation++
 	rules, from := c.Rules(a.generation), c.From(before)
 	a.nameZones(c)
+	if a.peers != nil {
+		a.peers.Name(a.generation, c.Names.Classes)
+	}
 	for i, l := range a.loops {
 		own := *rules
 		if i > 0 { // of the servers that speak Thrift
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -83,6 +83,10 @@
 		return nil, err
 	}
 	s.server = server
+	if a.peers != nil {
+		server.Show("/-/peers", func() any { return a.peers.View() })
+		server.Show("/-/shared", func() any { return a.peers.Shared() })
+	}
 	return s, nil
 }
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -19,6 +19,7 @@
 type Operator struct {
 	Thrift  *Thrift  `toml:"thrift"`
 	Settles *Settles `toml:"settles"`
+	Peers   *Peers   `toml:"peers"`
 }
 
 // Settles is the journal of requests that must not run twice.
@@ -148,6 +149,11 @@
 			return nil, err
 		}
 	}
+	if o.Peers != nil {
+		if err := o.Peers.check(f); err != nil {
+			return nil, err
+		}
+	}
 	return o, nil
 }
 
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"saltmast"
+	"saltmast/internal/shared"
 	"saltmast/internal/work"
 )
 
@@ -46,6 +47,7 @@
 	lists  Lists
 	log    *slog.Logger
 	admit  func() (time.Duration, bool)
+	fleet  Fleet // nil: agents share nothing
 	in     chan any
 	urgent chan struct{} // holds one while queue may hold some
 	done   chan struct{} // closed when Run returns
@@ -209,6 +211,26 @@
 	}
 )
 
+// Fleet is what agents share, as far as a loop has to do with it. Its calls must not block.
+type Fleet interface {
+	// Count counts one of a kind for a class of a generation of settings.
+	Count(generation uint64, class int, k shared.Kind)
+	// Left is how many retries may be sent now; negative: no budget is shared.
+	Left() int
+	// Spend takes one; false: there is none.
+	Spend() bool
+	// Missed says that one was wanted and not tried.
+	Missed()
+}
+
+// alone is the Fleet of an agent that shares nothing.
+type alone struct{}
+
+func (alone) Count(uint64, int, shared.Kind) {}
+func (alone) Left() int                      { return -1 }
+func (alone) Spend() bool                    { return true }
+func (alone) Missed()                        {}
+
 // Options are what a loop is made of.
 type Options struct {
 	Settings     saltmast.Settings
@@ -220,6 +242,8 @@
 	First        []saltmast.Event // what else the module hears in its first step
 	Decider      Decider          // nil: the decision module
 
+	Fleet Fleet // nil: agents share nothing
+
 	// Admit tells, for a request that must be recorded, whether that can be done now, and else when to come back; it must not
 	// block. nil: it can.
 	Admit func() (after time.Duration, ok bool)
@@ -236,7 +260,10 @@
 		}
 		o.Decider = bal
 	}
-	return &Loop{admit: o.Admit, clock: o.Clock, s: &o.Settings, bal: o.Decider, log: o.Log, in: make(chan any, 1024), urgent: make(chan struct{}, 1), work: work.New(), done: make(chan struct{}),
+	if o.Fleet == nil {
+		o.Fleet = alone{}
+	}
+	return &Loop{admit: o.Admit, fleet: o.Fleet, clock: o.Clock, s: &o.Settings, bal: o.Decider, log: o.Log, in: make(chan any, 1024), urgent: make(chan struct{}, 1), work: work.New(), done: make(chan struct{}),
 		ready: make(chan struct{}), open: map[string]*Request{}, last: o.Clock.Now() - o.Settings.Tick,
 		pending: append([]saltmast.Event{o.Known}, o.First...)}, nil
 }
@@ -415,12 +442,15 @@
 		r.answer <- Answer{Kind: Duplicate}
 		return
 	}
+	l.fleet.Count(r.event.Generation, r.class, shared.Requests)
 	if l.s.MaxOpen > 0 && l.taken >= l.s.MaxOpen {
+		l.fleet.Count(r.event.Generation, r.class, shared.Refusals)
 		r.answer <- Answer{Kind: Refused}
 		return
 	}
 	if r.Record != nil && l.admit != nil {
 		if after, ok := l.admit(); !ok {
+			l.fleet.Count(r.event.Generation, r.class, shared.Refusals)
 			r.answer <- Answer{Kind: Refused, RetryAfter: l.advice(after)}
 			return
 		}
@@ -479,6 +509,9 @@
 }
 
 func (l *Loop) reply(r *Request, a Answer) {
+	if a.Kind == Refused {
+		l.fleet.Count(r.event.Generation, r.class, shared.Refusals)
+	}
 	r.answer <- a
 	l.end(r)
 }
@@ -488,6 +521,9 @@
 	r := m.r
 	r.attempts[m.event.Attempt] = nil
 	r.out--
+	if m.event.Result != saltmast.NotSent && m.event.Result != saltmast.ConnectFailed {
+		l.fleet.Count(r.event.Generation, r.class, shared.Attempts)
+	}
 	r.risky = r.risky || !m.event.Result.NeverRan() || r.rules.FullNoProof && m.event.Result == saltmast.Full
 	if m.event.Result == saltmast.OK && !r.ended {
 		l.reply(r, Answer{Kind: Served, Payload: m.payload})
@@ -557,6 +593,9 @@
 		}
 	}
 	l.last = now
+	if left := l.fleet.Left(); left >= 0 {
+		events = append([]saltmast.Event{saltmast.Allowance{Retries: left}}, events...)
+	}
 	for _, a := range l.decide(now, events) {
 		l.perform(now, a)
 	}
@@ -609,6 +648,8 @@
 		l.lists.Fetch(l.ctx)
 	case saltmast.CloseIdle:
 		l.up.CloseIdle(a.Backend)
+	case saltmast.Short:
+		l.fleet.Missed()
 	case saltmast.Note:
 		l.log.Info(a.Text)
 	default:
@@ -654,6 +695,14 @@
 		l.finish(outcome{r: r, event: event})
 		return
 	}
+	if no > 0 {
+		// Looked at once more by the clock as it is now: the process may have been stopped since the module decided.
+		if !l.fleet.Spend() {
+			l.finish(outcome{r: r, event: event})
+			return
+		}
+		l.fleet.Count(r.event.Generation, r.class, shared.Retries)
+	}
 	until := l.clock.base.Add(cut - clockStart)
 	l.work.Go(func() {
 		rep := l.up.Attempt(ctx, &r.Call, a.Backend, until)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -98,7 +98,7 @@
 	if c.Operator, err = config.LoadOperator(operator, c.Names.Classes, c.Settings.Classes); err != nil {
 		return nil, err
 	}
-	if old, now := running.Operator, c.Operator; (old.Thrift == nil) != (now.Thrift == nil) || (old.Settles == nil) != (now.Settles == nil) {
+	if old, now := running.Operator, c.Operator; (old.Thrift == nil) != (now.Thrift == nil) || (old.Settles == nil) != (now.Settles == nil) || (old.Peers == nil) != (now.Peers == nil) {
 		return nil, fmt.Errorf("%s: a section came or went, which waits for the next start", operator)
 	}
 	return c, nil
--- a/internal/grade/event.go
+++ b/internal/grade/event.go
@@ -47,6 +47,8 @@
 	AgentStop Kind = "agent-stop" // it is about to get SIGTERM
 	AgentKill Kind = "agent-kill" // it is about to get SIGKILL
 	AgentExit Kind = "agent-exit" // it has ended, with Status
+	AgentHalt Kind = "agent-halt" // it is about to get SIGSTOP
+	AgentWake Kind = "agent-wake" // it has got SIGCONT
 	Fault     Kind = "fault"      // something begins or ends to go wrong; for the reader
 	Stall     Kind = "stall"      // the kit itself stood still for Late, up to now
 )
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,411 @@
+// Package peers is what agents of one fleet say to each other: membership (SWIM, by memberlist) and the messages that
+// carry internal/shared. It judges nothing: what is merged, lent and spent is decided there. Nothing of it runs without
+// [peers] in the operator's file. Its calls from the loop's path (Count, Left, Spend, Missed) take one short lock and
+// never wait for the network. Start reading at Peers.
+package peers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+
+	"saltmast/internal/shared"
+)
+
+// Options are what an agent's part in a fleet is made of. All spans have to be above 0.
+type Options struct {
+	Name        string
+	Incarnation uint64          // drawn at each start
+	Listen      string          // address and port for TCP and UDP, IP literals
+	Advertise   string          // where others reach it; "": where it listens
+	Join        func() []string // addresses to begin with, read again while nobody is found
+	Cluster     string
+	Zone        string
+	Key         []byte        // 16, 24 or 32 bytes; nil: nothing is encrypted
+	Members     int           // that are known at the most, this one included
+	BytesASec   int           // of counts that are told at the most; membership comes on top
+	StateBytes  int           // of a whole state at the most, sent or taken
+	Probe       time.Duration // between two looks whether a member lives
+	Exchange    time.Duration // between two exchanges of whole states
+	Rejoin      time.Duration // between two calls of those that were lost or never found
+	Terms       shared.Terms
+	Retries     *shared.Budget // the fleet's; nil: none
+	Log         *slog.Logger
+}
+
+const (
+	// stepEvery is how often what was counted is taken over, and rights are looked after.
+	stepEvery = 250 * time.Millisecond
+	// rightsEvery is how often rights are asked for.
+	rightsEvery = time.Second
+	// leaveFor is how long a farewell may take.
+	leaveFor = 100 * time.Millisecond
+	// forgetAfter is how long a lost member is called.
+	forgetAfter = time.Hour
+	// joinAtOnce bounds the addresses of one call to join.
+	joinAtOnce = 3
+)
+
+// Peers is one agent's part in a fleet.
+type Peers struct {
+	o     Options
+	self  shared.Agent
+	list  atomic.Pointer[memberlist.Memberlist] // nil until it could listen
+	done  chan struct{}                         // closed when Run returns
+	began time.Time
+	log   *slog.Logger
+	rare  *rarely
+
+	mu      sync.Mutex // what follows; nothing is waited for with it held
+	value   *shared.Value
+	rights  *shared.Holder // nil: no budget
+	queue   queue
+	members map[string]*member
+	rng     *rand.Rand
+
+	counters counters
+	sent     atomic.Int64 // bytes of counts and rights
+	got      atomic.Int64
+	refused  atomic.Int64 // messages that were none
+	running  sync.WaitGroup
+}
+
+// member is one that is or was there.
+type member struct {
+	agent shared.Agent
+	zone  string
+	addr  string
+	alive bool
+	since time.Duration // that it is as it is
+}
+
+// New listens; what it hears is merged from then on, and Run says something.
+func New(o Options) (*Peers, error) {
+	p := &Peers{o: o, self: shared.Agent{Name: o.Name, Incarnation: o.Incarnation}, began: time.Now(), log: o.Log.With("part", "peers"),
+		members: map[string]*member{}, done: make(chan struct{}), rng: rand.New(rand.NewPCG(o.Incarnation, 1)), queue: newQueue(o.BytesASec)}
+	p.rare = newRarely(p.log)
+	p.value = shared.NewValue(p.self, o.Terms, p.now())
+	if o.Retries != nil {
+		p.rights = shared.NewHolder(p.self, *o.Retries, p.now())
+	}
+	if err := p.listen(); err != nil && !inUse(err) {
+		return nil, err
+	}
+	return p, nil
+}
+
+// listen opens the addresses; with that it is a member, of itself alone.
+func (p *Peers) listen() error {
+	c, err := p.config()
+	if err != nil {
+		return err
+	}
+	list, err := memberlist.Create(c)
+	if err != nil {
+		c.Transport.Shutdown()
+		return fmt.Errorf("peers: %w", err)
+	}
+	p.list.Store(list)
+	return nil
+}
+
+// inUse reports whether another process has the address: the one before, in an upgrade with both side by side, until it
+// has gone.
+func inUse(err error) bool { return strings.Contains(err.Error(), syscall.EADDRINUSE.Error()) }
+
+// Close ends one that does not run.
+func (p *Peers) Close() {
+	if l := p.list.Load(); l != nil {
+		l.Shutdown()
+	}
+}
+
+// Done is closed once Run has returned.
+func (p *Peers) Done() <-chan struct{} { return p.done }
+
+// config is memberlist's, for these options.
+func (p *Peers) config() (*memberlist.Config, error) {
+	host, port, err := split(p.o.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("peers: listen: %w", err)
+	}
+	c := memberlist.DefaultLANConfig()
+	c.Name, c.Label = p.o.Name, p.o.Cluster
+	c.BindAddr, c.BindPort = host, port
+	c.Logger = p.rare.logger()
+	if p.o.Advertise != "" {
+		if c.AdvertiseAddr, c.AdvertisePort, err = split(p.o.Advertise); err != nil {
+			return nil, fmt.Errorf("peers: advertise: %w", err)
+		}
+	}
+	c.SecretKey = p.o.Key
+	c.ProbeInterval, c.ProbeTimeout = p.o.Probe, p.o.Probe/2
+	c.PushPullInterval = p.o.Exchange
+	c.GossipInterval = min(c.GossipInterval, p.o.Probe/2)
+	c.DeadNodeReclaimTime = p.o.Probe
+	c.TCPTimeout = min(c.TCPTimeout, max(time.Second, 4*p.o.Probe))
+	c.HandoffQueueDepth = 256
+	// Counts are small numbers, which do not get smaller.
+	c.EnableCompression = false
+	d := delegate{p}
+	c.Delegate, c.Events, c.Conflict, c.Alive = d, d, d, d
+	if c.Transport, err = newTransport(c, host, p.o.StateBytes+p.o.Members*memberBytes); err != nil {
+		return nil, fmt.Errorf("peers: listen: %w", err)
+	}
+	return c, nil
+}
+
+func split(addr string) (host string, port int, err error) {
+	host, text, err := net.SplitHostPort(addr)
+	if err != nil {
+		return "", 0, err
+	}
+	if net.ParseIP(host) == nil {
+		return "", 0, fmt.Errorf("%q is no IP address", host)
+	}
+	port, err = strconv.Atoi(text)
+	return host, port, err
+}
+
+// now is the agent's own clock; it goes on while the process is stopped.
+func (p *Peers) now() time.Duration { return time.Since(p.began) }
+
+// Addr is where others reach it; "" while it can't listen.
+func (p *Peers) Addr() string {
+	if l := p.list.Load(); l != nil {
+		return l.LocalNode().Address()
+	}
+	return ""
+}
+
+// Run takes part until ctx ends, and then says farewell.
+func (p *Peers) Run(ctx context.Context) {
+	defer close(p.done)
+	p.running.Add(1)
+	go p.keepJoining(ctx)
+	defer func() {
+		if l := p.list.Load(); l != nil {
+			l.Leave(leaveFor) // nobody has to hear it: what was held runs out by itself
+			l.Shutdown()
+		}
+		p.running.Wait()
+	}()
+	tick := time.NewTicker(stepEvery)
+	defer tick.Stop()
+	asked := p.now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		p.takeOver()
+		if now := p.now(); p.rights != nil && now-asked >= rightsEvery {
+			asked = now
+			p.mu.Lock()
+			out := p.rights.Step(now, p.alive())
+			p.mu.Unlock()
+			for _, m := range out {
+				p.say(m)
+			}
+		}
+	}
+}
+
+// takeOver brings what was counted since into the value, and puts this agent's records that changed in line.
+func (p *Peers) takeOver() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	p.value.Advance(now)
+	p.counters.drain(func(label string, t shared.Tally) {
+		for k, n := range t {
+			p.value.Add(now, label, shared.Kind(k), n)
+		}
+	})
+	for _, w := range p.value.Windows() {
+		if w+1 < p.value.Window() {
+			continue // it can't have changed
+		}
+		if r, ok := p.value.Own(w); ok {
+			p.queue.own(r, p.copies())
+		}
+	}
+}
+
+// copies is how often a record is told: by that many, over a few members each, it reaches all but surely.
+func (p *Peers) copies() int {
+	n := 0
+	for _, m := range p.members {
+		if m.alive {
+			n++
+		}
+	}
+	return 3 * (len(strconv.Itoa(n)) + 1)
+}
+
+// alive are the members that live, as far as is heard, in a new order each time. The lock is held.
+func (p *Peers) alive() []shared.Agent {
+	var out []shared.Agent
+	for _, m := range p.members {
+		if m.alive && m.agent != p.self {
+			out = append(out, m.agent)
+		}
+	}
+	slices.SortFunc(out, shared.Agent.Compare)
+	p.rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
+
+// say sends a message between holders; it may get lost.
+func (p *Peers) say(m shared.Message) {
+	l := p.list.Load()
+	if l == nil {
+		return
+	}
+	for _, n := range l.Members() {
+		if n.Name == m.To.Name {
+			raw := shared.AppendMessage(nil, m)
+			p.sent.Add(int64(len(raw)))
+			l.SendBestEffort(n, raw)
+			return
+		}
+	}
+}
+
+// keepJoining calls those that were given while nobody is there, and those that were lost now and then: after a cut
+// nobody else does.
+func (p *Peers) keepJoining(ctx context.Context) {
+	defer p.running.Done()
+	tick := time.NewTicker(p.o.Rejoin)
+	defer tick.Stop()
+	for {
+		if l := p.list.Load(); l == nil {
+			if err := p.listen(); err != nil {
+				p.rare.say("it can't listen yet", "err", firstLine(err))
+			}
+		} else if to := p.missing(); len(to) > 0 {
+			if n, err := l.Join(to); n == 0 && err != nil {
+				p.rare.say("nobody answers", "addresses", to, "err", firstLine(err))
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// missing draws a few addresses to call: of those that were given and are no member, and of the lost.
+func (p *Peers) missing() []string {
+	given, self := p.o.Join(), p.Addr()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	here := map[string]bool{self: true}
+	var lost []string
+	now := p.now()
+	for name, m := range p.members {
+		switch {
+		case m.alive:
+			here[m.addr] = true
+		case now-m.since > forgetAfter:
+			delete(p.members, name)
+		default:
+			lost = append(lost, m.addr)
+		}
+	}
+	slices.Sort(lost)
+	for _, a := range given {
+		if !here[a] && !slices.Contains(lost, a) {
+			lost = append(lost, a)
+		}
+	}
+	lost = slices.DeleteFunc(lost, func(a string) bool { return here[a] })
+	p.rng.Shuffle(len(lost), func(i, j int) { lost[i], lost[j] = lost[j], lost[i] })
+	return lost[:min(joinAtOnce, len(lost))]
+}
+
+// hear takes what came from another agent.
+func (p *Peers) hear(raw []byte) {
+	p.got.Add(int64(len(raw)))
+	m, err := shared.Decode(raw)
+	if err == nil {
+		switch m := m.(type) {
+		case shared.Delta:
+			err = p.merge(m)
+		case shared.Message:
+			p.mu.Lock()
+			var answer shared.Message
+			ok := false
+			if p.rights != nil {
+				answer, ok = p.rights.Hear(p.now(), m)
+			}
+			p.mu.Unlock()
+			if ok {
+				go p.say(answer) // not from memberlist's own goroutine
+			}
+		}
+	}
+	if err != nil {
+		p.refused.Add(1)
+		p.rare.say("a message is refused", "bytes", len(raw), "err", err)
+	}
+}
+
+// merge takes records over and passes on what is new.
+func (p *Peers) merge(d shared.Delta) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	fresh, err := p.value.Merge(p.now(), d)
+	copies := p.copies()
+	for _, r := range fresh {
+		p.queue.put(r, copies)
+	}
+	return err
+}
+
+// Left is how many retries may be sent now; -1: there is no budget.
+func (p *Peers) Left() int {
+	if p.rights == nil {
+		return -1
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rights.Left(p.now())
+}
+
+// Spend takes a retry from the budget; false: there is none left.
+func (p *Peers) Spend() bool {
+	if p.rights == nil {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rights.Spend(p.now())
+}
+
+// Missed notes a retry that was wanted, and not tried as there was none left.
+func (p *Peers) Missed() {
+	if p.rights == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rights.Missed()
+}
+
+// errFull is why a member beyond the bound is not taken.
+var errFull = errors.New("no more members are taken")
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,309 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"saltmast/internal/rig"
+	"saltmast/internal/shared"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func options(name string, log *rig.Capture) Options {
+	return Options{Name: name, Incarnation: uint64(len(name))<<32 + uint64(name[0]), Listen: "127.0.0.1:0", Join: func() []string { return nil }, Cluster: "test", Members: 8,
+		BytesASec: 1 << 20, StateBytes: 1 << 16, Probe: 50 * time.Millisecond, Exchange: 100 * time.Millisecond, Rejoin: 50 * time.Millisecond,
+		Terms: shared.Terms{Turn: time.Second, Window: 60, Windows: 3, Agents: 32}, Log: rig.LogTo(log)}
+}
+
+// start runs one until the test ends, or until what it returns is called.
+func start(t *testing.T, o Options) (*Peers, func()) {
+	t.Helper()
+	p, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Name(0, []string{"look", "hold"})
+	ctx, cancel := context.WithCancel(context.Background())
+	go p.Run(ctx)
+	end := func() { cancel(); <-p.Done() }
+	t.Cleanup(end)
+	return p, end
+}
+
+func join(p *Peers) func() []string { return func() []string { return []string{p.Addr()} } }
+
+func count(p *Peers, label string) (n uint64) {
+	for _, w := range p.Shared().Windows {
+		n += w.Counts[label].Requests
+	}
+	return n
+}
+
+func TestCountsReachAllAndARestartedOneIsAnother(t *testing.T) {
+	log := &rig.Capture{}
+	a, _ := start(t, options("a", log))
+	ob := options("b", log)
+	ob.Join, ob.Zone = join(a), "north"
+	b, end := start(t, ob)
+	for range 3 {
+		a.Count(0, 0, shared.Requests)
+	}
+	b.Count(0, 0, shared.Requests)
+	b.Count(0, 1, shared.Requests)
+	b.Count(7, 0, shared.Requests) // of a generation that nobody named
+	for _, p := range []*Peers{a, b} {
+		rig.Until(t, "both to have both's counts", func() bool { return count(p, "look") == 4 && count(p, "hold") == 1 })
+	}
+	v := a.View()
+	if v.Alive != 2 || len(v.Members) != 2 || v.Members[1].Zone != "north" || v.Members[1].Heard < 0 {
+		t.Errorf("%+v", v)
+	}
+	end()
+	rig.Until(t, "the farewell", func() bool { return a.View().Alive == 1 })
+	ob.Incarnation++
+	ob.Listen = b.Addr()
+	b2, _ := start(t, ob)
+	b2.Count(0, 0, shared.Requests)
+	rig.Until(t, "the counts of both incarnations", func() bool { return count(a, "look") == 5 && count(b2, "look") == 5 })
+	rig.Until(t, "the new incarnation", func() bool {
+		return a.View().Alive == 2 && a.View().Members[1].Incarnation == fmt.Sprintf("%x", ob.Incarnation)
+	})
+}
+
+func TestABusyOneGetsRightsOfAQuietOne(t *testing.T) {
+	log := &rig.Capture{}
+	budget := &shared.Budget{Name: "retries", Rate: 100_000, Agents: 2, Static: 0.2, Lease: 20 * time.Second, Burst: time.Second}
+	oa, ob := options("a", log), options("b", log)
+	oa.Retries, ob.Retries = budget, budget
+	a, _ := start(t, oa)
+	ob.Join = join(a)
+	b, _ := start(t, ob)
+	// As if both had run for long: nothing from before is out.
+	for _, p := range []*Peers{a, b} {
+		p.mu.Lock()
+		p.rights = shared.NewHolder(p.self, *budget, p.now()-time.Hour)
+		p.mu.Unlock()
+	}
+	rig.Until(t, "b to borrow", func() bool {
+		b.Missed()
+		b.Missed()
+		return b.Shared().Retries.Held > 50_000
+	})
+	if held := a.Shared().Retries.Held + b.Shared().Retries.Held; held > 100_000 {
+		t.Errorf("together they hold %d", held)
+	}
+	rig.Until(t, "something to spend", b.Spend)
+	if b.Left() < 0 {
+		t.Error("no budget is told")
+	}
+}
+
+func TestWithoutABudgetNothingIsHeldBack(t *testing.T) {
+	p, _ := start(t, options("a", &rig.Capture{}))
+	p.Missed()
+	if p.Left() != -1 || !p.Spend() || p.Shared().Retries != nil {
+		t.Error("a budget")
+	}
+}
+
+// What is not of this fleet is refused, and said once.
+func TestStrangersAreRefused(t *testing.T) {
+	for name, change := range map[string]func(*Options){
+		"another cluster": func(o *Options) { o.Cluster = "other" },
+		"another key":     func(o *Options) { o.Key = []byte("0123456789abcdef") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			log := &rig.Capture{}
+			oa := options("a", log)
+			oa.Key = []byte("fedcba9876543210")
+			a, _ := start(t, oa)
+			ob := options("b", &rig.Capture{})
+			ob.Key, ob.Join = oa.Key, join(a)
+			change(&ob)
+			b, _ := start(t, ob)
+			b.Count(0, 0, shared.Requests)
+			rig.Until(t, "a word of it", func() bool { return log.Has("level=WARN") })
+			if a.View().Alive != 1 || b.View().Alive != 1 || count(a, "look") != 0 {
+				t.Errorf("%+v", a.View())
+			}
+		})
+	}
+}
+
+func TestANameTakenTwiceIsRefused(t *testing.T) {
+	log := &rig.Capture{}
+	a, _ := start(t, options("a", log))
+	other := options("a", &rig.Capture{})
+	other.Incarnation, other.Join = 99, join(a)
+	start(t, other)
+	rig.Until(t, "a word of it", func() bool { return log.Has("taken twice") })
+	if v := a.View(); v.Alive != 1 || v.Members[0].Incarnation != v.Self.Incarnation || v.Refused == 0 {
+		t.Errorf("%+v", v)
+	}
+}
+
+func TestNonsenseIsRefusedAndSaidOnceAMinute(t *testing.T) {
+	log := &rig.Capture{}
+	p, _ := start(t, options("a", log))
+	d := delegate{p}
+	d.NotifyMsg([]byte("garbage"))
+	d.NotifyMsg([]byte{shared.Version + 1, 'd', 0})
+	d.MergeRemoteState(make([]byte, 100*p.o.StateBytes), false)
+	whole, _ := shared.AppendDelta(nil, shared.Delta{Records: []shared.Record{{Agent: shared.Agent{Name: "x"}, Counts: map[string]shared.Tally{"look": {1 << 63}}}}}, 1<<20)
+	d.NotifyMsg(whole)
+	if v := p.View(); v.Refused != 4 || count(p, "look") != 0 {
+		t.Errorf("%+v", v)
+	}
+	if n := strings.Count(log.String(), "refused"); n != 2 {
+		t.Errorf("%d lines, want one of messages and one of states: %s", n, log.String())
+	}
+}
+
+// A connection that brings more than any state is ended, and what it cost is the bound.
+func TestAStreamIsBounded(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	ended := make(chan error, 1)
+	go func() {
+		c, err := l.Accept()
+		if err == nil {
+			defer c.Close()
+			_, err = (&bounded{Conn: c, left: 1000}).Read(make([]byte, 10))
+			b := &bounded{Conn: c, left: 90}
+			for n := 0; err == nil; {
+				var k int
+				k, err = b.Read(make([]byte, 64))
+				if n += k; n > 90 {
+					err = fmt.Errorf("%d bytes came", n)
+				}
+			}
+		}
+		ended <- err
+	}()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Write(make([]byte, 200))
+	if err := rig.Receive(t, ended); err != errTooMuch {
+		t.Error(err)
+	}
+}
+
+func TestAnAddressInUseIsWaitedFor(t *testing.T) {
+	log := &rig.Capture{}
+	before, end := start(t, options("a", log))
+	o := options("a", log)
+	o.Listen, o.Incarnation = before.Addr(), 5
+	after, _ := start(t, o)
+	after.Count(0, 0, shared.Requests)
+	rig.Until(t, "a word of it", func() bool { return log.Has("can't listen yet") })
+	if after.Addr() != "" {
+		t.Error("both have one address")
+	}
+	end()
+	rig.Until(t, "the address", func() bool { return after.Addr() == o.Listen && after.View().Alive == 1 })
+}
+
+func TestABadAddressEndsTheStart(t *testing.T) {
+	o := options("a", &rig.Capture{})
+	for _, addr := range []string{"127.0.0.1", "here:1", "192.0.2.1:1"} {
+		o.Listen = addr
+		if _, err := New(o); err == nil || !strings.HasPrefix(err.Error(), "peers: ") || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", addr, err)
+		}
+	}
+}
+
+func TestQueueTellsEachOftenEnoughWithinItsBound(t *testing.T) {
+	q := newQueue(500)
+	record := func(i int, n uint64) shared.Record {
+		return shared.Record{Agent: shared.Agent{Name: "n", Incarnation: uint64(i)}, Counts: map[string]shared.Tally{"look": {n}}}
+	}
+	for i := range 100 {
+		q.put(record(i, 1), 2)
+	}
+	q.put(record(3, 9), 2) // keeps its place, with what is newest
+	told, bytes := map[uint64]int{}, 0
+	for s := range 60 {
+		raw := q.take(time.Duration(s)*time.Second, 0, 1300)
+		bytes += len(raw)
+		if raw == nil {
+			continue
+		}
+		m, err := shared.Decode(raw)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range m.(shared.Delta).Records {
+			told[r.Agent.Incarnation]++
+			if r.Agent.Incarnation == 3 && r.Counts["look"][0] != 9 {
+				t.Error("an old record was told")
+			}
+		}
+	}
+	if bytes > 1400+60*500 {
+		t.Errorf("%d bytes in a minute at 500 a second", bytes)
+	}
+	for i := range uint64(100) {
+		if told[i] != 2 {
+			t.Fatalf("%d was told %d times", i, told[i])
+		}
+	}
+	if len(q.line) != 0 || len(q.waits) != 0 {
+		t.Errorf("%d are left", len(q.line))
+	}
+	for i := range 2 * mostWaiting {
+		q.put(record(i, 1), 1)
+	}
+	if len(q.line) != mostWaiting || len(q.waits) != mostWaiting {
+		t.Errorf("%d wait", len(q.line))
+	}
+}
+
+func TestOwnRecordsAreToldOnceUnlessTheyChange(t *testing.T) {
+	q := newQueue(1 << 20)
+	r := shared.Record{Agent: shared.Agent{Name: "n"}, Window: 4, Counts: map[string]shared.Tally{"look": {1}}}
+	q.own(r, 1)
+	if q.take(time.Second, 0, 1300) == nil {
+		t.Fatal("nothing is told")
+	}
+	q.own(r, 1)
+	if q.take(2*time.Second, 0, 1300) != nil {
+		t.Error("told again, though the same")
+	}
+	r.Counts = map[string]shared.Tally{"look": {2}}
+	q.own(r, 1)
+	if q.take(3*time.Second, 0, 1300) == nil {
+		t.Error("a change is not told")
+	}
+}
+
+func TestOldGenerationsAreCountedUntilTheyAreForgotten(t *testing.T) {
+	p := &Peers{}
+	for g := range uint64(20) {
+		p.Name(g, []string{fmt.Sprint("c", g%2)})
+	}
+	p.Count(19, 0, shared.Requests)
+	p.Count(18, 0, shared.Requests)
+	p.Count(11, 0, shared.Refusals)
+	p.Count(2, 0, shared.Requests)  // long forgotten
+	p.Count(19, 1, shared.Requests) // a class that it has not
+	got := map[string]shared.Tally{}
+	p.counters.drain(func(label string, t shared.Tally) { got[label] = t })
+	if got["c0"] != (shared.Tally{1}) || got["c1"] != (shared.Tally{1, 0, 0, 1}) || len(got) != 2 {
+		t.Errorf("%v", got)
+	}
+	p.counters.drain(func(label string, _ shared.Tally) { t.Errorf("%s is counted twice", label) })
+}
--- a/internal/rehearsal/run.go
+++ b/internal/rehearsal/run.go
@@ -19,6 +19,7 @@
 	"saltmast/internal/grade"
 	"saltmast/internal/scenario"
 	"saltmast/internal/standin"
+	"saltmast/internal/standin/between"
 	"saltmast/internal/usage"
 )
 
@@ -29,8 +30,13 @@
 	Logs    string         // a folder for the agents' logs; "" for none
 	Settles bool           // the agents keep journals of settles, which are held against what the servers saw
 	Kills   int            // so many times an agent is killed at a random moment and started again
+	Peers   *Peers         // the agents share state; nil: they share nothing
 	Load    string         // the recording whose load the plan has, for the report; "" for a drawn one
 	Tick    func(Progress) // called four times a second, and once at the end; may be nil
+
+	// During is played beside the load, After once the last request is answered and before the agents are stopped. An error
+	// of either ends the run. Both may be nil.
+	During, After func(ctx context.Context, f *Fleet) error
 }
 
 // Progress tells how far a run is.
@@ -90,6 +96,7 @@
 	plan    *scenario.Plan
 	record  *standin.Record
 	list    *standin.List
+	net     *between.Net // nil: agents share nothing
 	jobs    *standin.Jobs
 	servers []*server
 	agents  []*agent
@@ -232,6 +239,11 @@
 		}
 		a := &agent{i: i, name: name, s: s, command: r.o.Command, dir: r.dir, logs: r.o.Logs,
 			list: r.list, listAt: at, record: r.record, addr: addr}
+		if r.o.Peers != nil {
+			if err := r.connect(a); err != nil {
+				return fmt.Errorf("agent %s: %w", name, err)
+			}
+		}
 		if r.o.Settles {
 			a.settles = settlesDir(r.dir, name)
 		}
@@ -294,6 +306,16 @@
 			r.step(ctx, s)
 		}
 	}()
+	fleet := &Fleet{r}
+	if r.o.During != nil {
+		walking.Add(1)
+		go func() {
+			defer walking.Done()
+			if err := r.o.During(ctx, fleet); err != nil && ctx.Err() == nil {
+				r.fail(err)
+			}
+		}()
+	}
 	if r.o.Kills > 0 {
 		walking.Add(1)
 		go func() { defer walking.Done(); r.killAgents(ctx) }()
@@ -319,6 +341,14 @@
 	if r.until(ctx, sec(r.s.ForS)) {
 		jobs.Wait()
 	}
+	if r.o.During != nil {
+		walking.Wait() // it ends by itself
+	}
+	if r.o.After != nil && ctx.Err() == nil {
+		if err := r.o.After(ctx, fleet); err != nil && ctx.Err() == nil {
+			r.fail(err)
+		}
+	}
 	r.tick("stopping", len(r.plan.Arrivals))
 	cancel()
 	jobs.Wait()
@@ -495,6 +525,9 @@
 	for _, a := range r.agents {
 		a.kill()
 	}
+	if r.net != nil {
+		r.net.Close()
+	}
 	r.steps.Wait()
 	for _, a := range r.agents {
 		a.kill() // one that a step had started since
--- a/internal/shared/rights.go
+++ b/internal/shared/rights.go
@@ -88,8 +88,7 @@
 	demand    float64       // a running mean of what was wanted, thousandths a second
 	wanted    int64         // since the last step
 	stepped   time.Duration
-	lenders   []Agent // that can be asked, in the order in which they are
-	seq       uint64  // of its asks
+	seq       uint64 // of its asks
 	spent     uint64
 	turnedOff uint64
 	wrong     Wrong
--- a/internal/shared/value.go
+++ b/internal/shared/value.go
@@ -261,3 +261,13 @@
 	out[v.self] = 0
 	return out
 }
+
+// Agents is of how many something was counted in a window.
+func (v *Value) Agents(w uint64) (n int) {
+	for _, k := range v.agents {
+		if k.windows[w] != nil {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -98,3 +98,10 @@
 	e.n++
 	return e.class, e.work, e.n, true
 }
+
+// Events are those so far. What is returned is not to be changed.
+func (r *Record) Events() []grade.Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.events[:len(r.events):len(r.events)]
+}
--- a/saltmast.go
+++ b/saltmast.go
@@ -80,7 +80,7 @@
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
-	b := &Balancer{rng: rand.New(rand.NewPCG(seed, 0)), tokens: bucketCap, vary: 1,
+	b := &Balancer{rng: rand.New(rand.NewPCG(seed, 0)), tokens: bucketCap, allow: math.Inf(1), vary: 1,
 		base: aimedDelay / aimedRise, perBack: floorPerBack,
 		byID: map[string]*backend{}, withdrawn: map[string]bool{},
 		requests: map[string]*request{}, timers: map[int64]*request{}, lines: map[string]*line{}}
@@ -161,6 +161,13 @@
 		case Maintenance:
 			b.onMaintenance(e)
 			b.measure()
+		case Allowance:
+			b.allow = float64(e.Retries)
+			for _, r := range b.requests { // what is on its way there has yet to be spent
+				if r.waiting || r.holding && r.retries > 0 {
+					b.allow--
+				}
+			}
 		case StreamStarted:
 			if r := b.requests[e.Request]; r != nil && !r.ended {
 				r.stream = true
@@ -656,11 +663,16 @@
 	for _, t := range b.backends {
 		possible = possible || t.isUp() && b.mayRepeat(r, t)
 	}
-	if !possible || b.tokens < cost || at >= r.deadline || res == NotSent {
+	may := possible && b.tokens >= cost && at < r.deadline && res != NotSent
+	if may && b.allow < 1 {
+		b.actions = append(b.actions, Short{Request: r.id})
+	}
+	if !may || b.allow < 1 {
 		b.giveUp(r)
 		return
 	}
 	b.tokens -= cost
+	b.allow--
 	r.retries++
 	r.waiting = true
 	b.timer(r, at)
--- a/state.go
+++ b/state.go
@@ -29,6 +29,7 @@
 	token     int64 // last timer token given out
 
 	tokens   float64       // the retry bucket
+	allow    float64       // retries that may begin by what agents share
 	classes  []*classState // of the settings in force
 	inFlight int
 	stuck    int           // of these, on backends that are not counted in capacity
