Budget across processes: cuts, halts, kills and a bad network, counted at the servers

Need: the budget's bound was proven on holders alone, not on processes that fail. Change: tests that start six agents, wait until the busiest has borrowed, and then cut it off, halve the fleet, cut one way, halt it for longer than a lease, kill it and its lenders, or lose, repeat and reorder; retries are counted by the servers. Three flawed agents (takes-silent, keeps-rights, counts-twice) are real ones with one mistake.

--- a/cmd/latchkit/main.go
+++ b/cmd/latchkit/main.go
@@ -15,6 +15,7 @@
 	"saltmast/internal/daemon"
 	"saltmast/internal/measure"
 	"saltmast/internal/naive"
+	"saltmast/internal/shared"
 )
 
 // Statuses of the program.
@@ -50,6 +51,11 @@
 	if len(os.Args) >= 2 && os.Args[1] == "agent" {
 		return daemon.Main(os.Args[2:])
 	}
+	if len(os.Args) >= 3 && os.Args[1] == "naive" {
+		if w, ok := shared.Flaws[os.Args[2]]; ok { // a real one with a mistake in what it shares
+			return daemon.MainWrong(os.Args[3:], w)
+		}
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	context.AfterFunc(ctx, stop) // a second Ctrl-C ends the kit at once, and its agents with it
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -24,6 +24,7 @@
 	"saltmast/internal/keep"
 	"saltmast/internal/peers"
 	settleslog "saltmast/internal/settles/log"
+	"saltmast/internal/shared"
 	"saltmast/internal/thrift"
 	"saltmast/internal/upstream"
 )
@@ -86,10 +87,16 @@
 // New makes an agent and listens; it serves once Run is called.
 func New(c *config.Config, log *slog.Logger) (*Agent, error) { return newAgent(c, log, hooks{}) }
 
+// NewWrong makes an agent that makes a mistake in what it shares, for the kit to prove that it shows.
+func NewWrong(c *config.Config, log *slog.Logger, w shared.Wrong) (*Agent, error) {
+	return newAgent(c, log, hooks{wrong: w})
+}
+
 // hooks are what tests put in place of the usual.
 type hooks struct {
 	decide core.Decider               // of the modules; with two protocols both have it step
 	folder func(string) settleslog.FS // of the folder of the journal
+	wrong  shared.Wrong               // a mistake in what agents share
 }
 
 func newAgent(c *config.Config, log *slog.Logger, h hooks) (*Agent, error) {
@@ -122,7 +129,7 @@
 	ofHTTP := func(b saltmast.Backend) bool { return !ofThrift(b) }
 
 	if c.Operator != nil && c.Operator.Peers != nil {
-		if err := a.openPeers(c); err != nil {
+		if err := a.openPeers(c, h.wrong); err != nil {
 			return nil, err
 		}
 		defer func() {
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -20,12 +20,12 @@
 )
 
 // openPeers takes part in the fleet that the operator's file names.
-func (a *Agent) openPeers(c *config.Config) error {
+func (a *Agent) openPeers(c *config.Config, wrong shared.Wrong) error {
 	s := c.Operator.Peers
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 	o := peers.Options{Name: c.Name, Incarnation: rand.Uint64(), Listen: s.Listen, Advertise: s.Advertise, Join: s.Addresses,
 		Cluster: s.Cluster, Zone: s.Zone, Key: s.Key, Members: s.Members, BytesASec: s.Bytes, StateBytes: s.StateKB << 10,
-		Probe: ms(s.ProbeMs), Exchange: ms(s.ExchangeMs), Rejoin: ms(s.RejoinMs), Log: a.log,
+		Probe: ms(s.ProbeMs), Exchange: ms(s.ExchangeMs), Rejoin: ms(s.RejoinMs), Log: a.log, Wrong: wrong,
 		Terms: shared.Terms{Turn: turn, Window: s.WindowS, Windows: s.Windows, Agents: s.Members * incarnations}}
 	if r := s.Retries; r != nil {
 		o.Retries = &shared.Budget{Name: "retries", Rate: int64(r.Rate * 1000), Agents: r.Agents, Static: r.Static,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,11 +17,15 @@
 
 	"saltmast/internal/agent"
 	"saltmast/internal/config"
+	"saltmast/internal/shared"
 )
 
 // Main runs one agent and returns the status to exit with: 0 after a stop that was asked for, 2 for flags that make no
 // sense, 1 otherwise, with one line on standard error.
-func Main(args []string) int {
+func Main(args []string) int { return MainWrong(args, shared.Right) }
+
+// MainWrong is Main for an agent that makes a mistake in what it shares. The kit alone starts one.
+func MainWrong(args []string, w shared.Wrong) int {
 	fl := flag.NewFlagSet("violetlatch", flag.ContinueOnError)
 	fl.Usage = func() {
 		fmt.Fprintln(fl.Output(), "usage: violetlatch [-operator FILE] [-check]\n\nGW_CONFIG names the platform's configuration. Flags:")
@@ -42,7 +46,7 @@
 	if *check {
 		err = checkFiles(*operator)
 	} else {
-		err = Run(*operator)
+		err = run(*operator, w)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "violetlatch:", err)
@@ -106,7 +110,9 @@
 
 // Run serves as the file that GW_CONFIG names says, and the operator's file, if one is named, until SIGTERM or SIGINT, and finishes what was taken
 // within 3.2 s. It takes the process for itself: signals, the number of threads, the collector's bounds.
-func Run(operator string) error {
+func Run(operator string) error { return run(operator, shared.Right) }
+
+func run(operator string, w shared.Wrong) error {
 	// From the first moment on: unheard, the signal would end the process.
 	again := make(chan os.Signal, 1) // signals that come while one is worked on make one more
 	signal.Notify(again, syscall.SIGHUP)
@@ -129,7 +135,7 @@
 		debug.SetMemoryLimit(config.HeapLimit(c.MemoryMB, 1))
 	}
 	log := slog.New(agent.Sparing(slog.NewTextHandler(os.Stderr, nil))).With("agent", c.Name)
-	a, err := agent.New(c, log)
+	a, err := agent.NewWrong(c, log, w)
 	if err != nil {
 		return err
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -42,6 +42,7 @@
 	Rejoin      time.Duration // between two calls of those that were lost or never found
 	Terms       shared.Terms
 	Retries     *shared.Budget // the fleet's; nil: none
+	Wrong       shared.Wrong   // a mistake on purpose, for the kit to prove that it shows
 	Log         *slog.Logger
 }
 
@@ -96,9 +97,9 @@
 	p := &Peers{o: o, self: shared.Agent{Name: o.Name, Incarnation: o.Incarnation}, began: time.Now(), log: o.Log.With("part", "peers"),
 		members: map[string]*member{}, done: make(chan struct{}), rng: rand.New(rand.NewPCG(o.Incarnation, 1)), queue: newQueue(o.BytesASec)}
 	p.rare = newRarely(p.log)
-	p.value = shared.NewValue(p.self, o.Terms, p.now())
+	p.value = shared.NewWrongValue(p.self, o.Terms, p.now(), o.Wrong)
 	if o.Retries != nil {
-		p.rights = shared.NewHolder(p.self, *o.Retries, p.now())
+		p.rights = shared.NewWrong(p.self, *o.Retries, p.now(), o.Wrong)
 	}
 	if err := p.listen(); err != nil && !inUse(err) {
 		return nil, err
--- a/internal/rehearsal/fleet_test.go
+++ b/internal/rehearsal/fleet_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"saltmast/internal/grade"
 	"saltmast/internal/peers"
 	"saltmast/internal/scenario"
 	"saltmast/internal/standin/between"
@@ -149,5 +148,256 @@
 	if !cut {
 		t.Error("the cut was not played")
 	}
-	_ = grade.Kept
+}
+
+// storm is a load in which one agent carries most and a part of the requests fails wherever it goes: retries are wanted all
+// the time, far more than the budget lets pass, and more by all once the surge comes.
+func storm(seed uint64) scenario.Scenario {
+	s := calm()
+	s.Seed, s.Agents, s.Servers, s.PodSize, s.ForS, s.Rate = seed, 6, 4, 2, 6.5, 140
+	s.Clients.Skew, s.Clients.BusyPart, s.Clients.BusyTimes, s.Clients.Retries = 0, 0.17, 14, 0
+	s.Server.ErrorRate, s.Rules.MaxAttempts = 0.2, 4
+	for i := range s.Classes {
+		s.Classes[i].WorkMs, s.Classes[i].Effect = 1, scenario.Safe
+		s.Classes[i].AimMs, s.Classes[i].DeadlineMs = 200, 400
+	}
+	s.Surges = []scenario.Surge{{AtS: 2.8, ForS: 3.7, Times: 4}}
+	return s
+}
+
+const (
+	stormBudget = 30.0 // retries a second of all six
+	stormBurst  = 0.15 // s
+)
+
+// overshoot is what the bound allows beyond the rate: one whole for each agent, the burst, and what is spent a deadline
+// before a server sees it.
+func overshoot(s scenario.Scenario) float64 {
+	longest := 0.0
+	for _, c := range s.Classes {
+		longest = max(longest, c.DeadlineMs/1000)
+	}
+	return float64(s.Agents) + stormBudget*(stormBurst+longest)
+}
+
+func budgeted(leaseMs int) *Peers {
+	p := quick()
+	p.Retries, p.Static, p.LeaseMs, p.BurstMs = stormBudget, 0.25, leaseMs, stormBurst*1000
+	return p
+}
+
+// borrowed waits until the busy agent holds more than its own part, of others.
+func borrowed(ctx context.Context, f *Fleet) (busy int, err error) {
+	busy = -1
+	return busy, f.Until(ctx, "one to borrow", longWait, func() bool {
+		for i := range f.Agents() {
+			s, err := f.Shared(ctx, i)
+			if err == nil && s.Retries != nil && 2*s.Retries.Held > 3*s.Retries.Home && len(s.Retries.Borrowed) >= min(3, f.Agents()-1) {
+				busy = i
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// rest is all agents but one.
+func rest(f *Fleet, but int) (out []int) {
+	for i := range f.Agents() {
+		if i != but {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// budgetFaults are what is done to a fleet that spends a budget, once its busiest agent has borrowed of the others.
+var budgetFaults = map[string]func(ctx context.Context, f *Fleet, busy int) error{
+	"cut off with what it borrowed": func(ctx context.Context, f *Fleet, busy int) error {
+		f.Net().Between([]int{busy}, rest(f, busy), true, between.Link{Cut: true})
+		return know(ctx, f, 1, busy)
+	},
+	"in halves": func(ctx context.Context, f *Fleet, busy int) error {
+		others := rest(f, busy)
+		f.Net().Between([]int{busy, others[0], others[1]}, others[2:], true, between.Link{Cut: true})
+		return know(ctx, f, 3, busy, others[4])
+	},
+	"is heard and hears not": func(ctx context.Context, f *Fleet, busy int) error {
+		f.Net().Between(rest(f, busy), []int{busy}, false, between.Link{Cut: true})
+		return f.Until(ctx, "its own part to be all", longWait, func() bool {
+			s, err := f.Shared(ctx, busy)
+			return err == nil && s.Retries.Held <= s.Retries.Home
+		})
+	},
+	"halted for longer than a lease": func(ctx context.Context, f *Fleet, busy int) error {
+		if err := f.Halt(busy); err != nil {
+			return err
+		}
+		others := rest(f, busy)
+		if err := f.Until(ctx, "what was lent to run out", longWait, func() bool {
+			s, err := f.Shared(ctx, others[0])
+			return err == nil && s.Retries.Held >= s.Retries.Home
+		}); err != nil {
+			return err
+		}
+		return f.Wake(busy)
+	},
+	"killed and started again, and its lenders too": func(ctx context.Context, f *Fleet, busy int) error {
+		for _, i := range append(rest(f, busy)[:3], busy) {
+			f.Kill(i)
+			if err := f.Start(i); err != nil {
+				return err
+			}
+		}
+		return nil
+	},
+	"a network that loses, repeats and reorders": func(ctx context.Context, f *Fleet, busy int) error {
+		all := append(rest(f, busy), busy)
+		f.Net().Between(all, all, true, between.Link{Loss: 0.3, Repeat: 0.3, Delay: 5 * time.Millisecond, Jitter: 300 * time.Millisecond})
+		return nil
+	},
+}
+
+// Whatever happens between the agents, servers see no more retries in any span than the budget and the stated overshoot.
+func TestABudgetHoldsAcrossProcesses(t *testing.T) {
+	for name, fault := range budgetFaults {
+		t.Run(name, func(t *testing.T) {
+			s := storm(7)
+			var seen Seen
+			played := false
+			playFleet(t, s, Options{Peers: budgeted(1500),
+				During: func(ctx context.Context, f *Fleet) error {
+					busy, err := borrowed(ctx, f)
+					if err != nil {
+						return err
+					}
+					f.Note(name)
+					played = true
+					return fault(ctx, f, busy)
+				},
+				After: func(ctx context.Context, f *Fleet) error { seen = f.Seen(); return nil }})
+			over, from, to := seen.Over(stormBudget)
+			if most := overshoot(s); over > most {
+				t.Errorf("%.1f retries beyond the budget from %v to %v, %.1f are allowed", over, from, to, most)
+			}
+			if !played || seen.Retries < 30 {
+				t.Errorf("%d retries: nothing was at stake", seen.Retries)
+			}
+			t.Logf("%d retries of %d attempts, at most %.1f beyond the budget", seen.Retries, seen.Attempts, over)
+		})
+	}
+}
+
+// Two mistakes are caught by the budget's rule, twice the same: to take back what was lent from one that is not heard, and
+// to go on with what was borrowed for good. One that makes none is not.
+func TestFlawedRightsAreCaught(t *testing.T) {
+	for _, c := range []struct {
+		flaw    string // "": none
+		leaseMs int
+	}{{"takes-silent", 6000}, {"takes-silent", 6000}, {"keeps-rights", 1500}, {"keeps-rights", 1500}, {"", 6000}} {
+		s := storm(7)
+		// Of two, one has borrowed most of the other's part when it is cut off, and then both want all they can get.
+		from := 2.5 + float64(c.leaseMs)/1000
+		s.Agents, s.Clients.BusyPart = 2, 0.5
+		s.ForS, s.Surges = from+4, []scenario.Surge{{AtS: from, ForS: 4, Times: 6}}
+		for i := range s.Classes {
+			s.Classes[i].AimMs, s.Classes[i].DeadlineMs = 100, 200
+		}
+		command := self("agent")
+		if c.flaw != "" {
+			command = self("naive", c.flaw)
+		}
+		var seen Seen
+		playFleet(t, s, Options{Peers: budgeted(c.leaseMs), Command: command,
+			During: func(ctx context.Context, f *Fleet) error {
+				busy, err := borrowed(ctx, f)
+				if err != nil {
+					return err
+				}
+				return budgetFaults["cut off with what it borrowed"](ctx, f, busy)
+			},
+			After: func(ctx context.Context, f *Fleet) error { seen = f.Seen(); return nil }})
+		over, _, _ := seen.Over(stormBudget)
+		t.Logf("%q: %d retries of %d attempts, %.1f beyond the budget, %.1f allowed", c.flaw, seen.Retries, seen.Attempts, over, overshoot(s))
+		if caught := over > overshoot(s); caught != (c.flaw != "") {
+			t.Errorf("%q: %.1f beyond the budget, %.1f are allowed: caught %v", c.flaw, over, overshoot(s), caught)
+		}
+	}
+}
+
+// Counts that are added up as they are heard say more than the servers saw; those that are joined never do, however often
+// they are heard.
+func TestCountsThatAreAddedUpAreCaught(t *testing.T) {
+	for _, flaw := range []string{"counts-twice", ""} {
+		s := calm()
+		s.Agents, s.ForS = 3, 2
+		command := self("agent")
+		if flaw != "" {
+			command = self("naive", flaw)
+		}
+		more := false
+		playFleet(t, s, Options{Peers: quick(), Command: command,
+			After: func(ctx context.Context, f *Fleet) error {
+				if flaw == "" {
+					return agree(ctx, f)
+				}
+				return f.Until(ctx, "one to say more than the servers saw", longWait, func() bool {
+					s, err := f.Shared(ctx, 0)
+					more = err == nil && attempts(s) > f.Seen().Attempts
+					return more
+				})
+			}})
+		if more != (flaw != "") {
+			t.Errorf("%q: caught %v", flaw, more)
+		}
+	}
+}
+
+// Agents that are killed and started again, with a cut and a heal between: all that live agree, and say no more than the
+// servers saw; what the killed had not told anybody is gone, and that is all.
+func TestCountsSurviveKillsOfOthers(t *testing.T) {
+	s := calm()
+	s.Agents, s.ForS, s.Rate = 5, 4, 150
+	s.Clients.Retries = 0
+	playFleet(t, s, Options{Peers: quick(),
+		During: func(ctx context.Context, f *Fleet) error {
+			if err := know(ctx, f, 5, 0, 1, 2, 3, 4); err != nil {
+				return err
+			}
+			f.Net().Between([]int{0, 1}, []int{2, 3, 4}, false, between.Link{Cut: true}) // one way
+			for _, i := range []int{1, 4} {
+				f.Kill(i)
+				if err := f.Start(i); err != nil {
+					return err
+				}
+			}
+			f.Net().Heal()
+			return nil
+		},
+		After: func(ctx context.Context, f *Fleet) error {
+			if err := know(ctx, f, 5, 0, 1, 2, 3, 4); err != nil {
+				return err
+			}
+			return f.Until(ctx, "all to say the same", longWait, func() bool {
+				first := -1
+				for i := range f.Agents() {
+					s, err := f.Shared(ctx, i)
+					if err != nil {
+						return false
+					}
+					n := attempts(s)
+					if seen := f.Seen().Attempts; n > seen {
+						t.Errorf("%s says %d, the servers saw %d", f.Name(i), n, seen)
+						return true
+					}
+					if first < 0 {
+						first = n
+					}
+					if n != first {
+						return false
+					}
+				}
+				return true
+			})
+		}})
 }
--- a/internal/rehearsal/run_test.go
+++ b/internal/rehearsal/run_test.go
@@ -20,6 +20,7 @@
 	"saltmast/internal/grade"
 	"saltmast/internal/naive"
 	"saltmast/internal/scenario"
+	"saltmast/internal/shared"
 )
 
 // The test's own program serves as every agent: agents are processes of their own.
@@ -29,6 +30,9 @@
 		case "agent":
 			os.Exit(daemon.Main(os.Args[2:]))
 		case "naive":
+			if w, ok := shared.Flaws[os.Args[2]]; ok {
+				os.Exit(daemon.MainWrong(os.Args[3:], w))
+			}
 			if err := naive.Run(os.Args[2]); err != nil {
 				fmt.Fprintln(os.Stderr, err)
 				os.Exit(1)
--- a/internal/shared/rights.go
+++ b/internal/shared/rights.go
@@ -295,8 +295,11 @@
 		}
 		l.open = false
 		l.amount, l.until = m.Amount, l.asked+h.b.Lease
-		if h.wrong == LenderClock {
+		switch h.wrong {
+		case LenderClock:
 			l.until = m.At + h.b.Lease
+		case KeepsRights:
+			l.until = math.MaxInt64
 		}
 	case Return:
 		if d := h.lent[m.From]; d != nil {
--- a/internal/shared/value.go
+++ b/internal/shared/value.go
@@ -53,6 +53,7 @@
 	turn   uint64
 	since  time.Duration // when this turn began here
 	agents map[Agent]*known
+	wrong  Wrong
 }
 
 // known is what is known of one agent.
@@ -176,7 +177,13 @@
 			if !there && len(mine) >= maxLabels {
 				continue // its agent has no more: this is none of its own
 			}
-			if joined := old.join(r.Counts[label]); joined != old {
+			joined := old.join(r.Counts[label])
+			if v.wrong == CountsTwice {
+				for k := range joined {
+					joined[k] = min(maxCount, old[k]+r.Counts[label][k])
+				}
+			}
+			if joined != old {
 				mine[label], news = joined, true
 			}
 		}
--- a/internal/shared/wrong.go
+++ b/internal/shared/wrong.go
@@ -11,10 +11,22 @@
 	LenderClock        // a borrower judges its lease by the time that the lender's clock showed
 	TakesSilent        // a lender takes back what it lent to one that it does not hear
 	AppliesTwice       // a grant that comes twice counts twice
+	KeepsRights        // what was borrowed is held for good
+	CountsTwice        // counts that are heard are added to those that are known
 )
 
-// Mistakes are all of them, by name.
-var Mistakes = map[string]Wrong{"lender-clock": LenderClock, "takes-silent": TakesSilent, "applies-twice": AppliesTwice}
+// Mistakes are those about rights, by name.
+var Mistakes = map[string]Wrong{"lender-clock": LenderClock, "takes-silent": TakesSilent, "applies-twice": AppliesTwice, "keeps-rights": KeepsRights}
+
+// Flaws are those that processes are started with, by name.
+var Flaws = map[string]Wrong{"takes-silent": TakesSilent, "keeps-rights": KeepsRights, "counts-twice": CountsTwice}
+
+// NewWrongValue returns a value that makes a mistake.
+func NewWrongValue(self Agent, t Terms, now time.Duration, w Wrong) *Value {
+	v := NewValue(self, t, now)
+	v.wrong = w
+	return v
+}
 
 // NewWrong returns a holder that makes a mistake.
 func NewWrong(self Agent, b Budget, now time.Duration, w Wrong) *Holder {
