Judgements: evidence that is shared, verdicts with bounds, a prior for the module

Need: each agent loses requests of its own before it knows that a backend is silent; most are quiet and know it last. Change: internal/shared: Witness (what one agent sees, silence before a time-out), Evidence in the join, Judge (never one agent's word or one zone's, a sick agent is not believed, a part of the backends at the most, words fade by the fleet's turns, a process that started anew is clean); Hearsay in the module, a first strike that its own answer outweighs; [peers.judge], off without it.

--- a/api.go
+++ b/api.go
@@ -236,6 +236,13 @@
 	// Allowance says how many retries may begin or be on their way from now on, by what agents share; it takes away from
 	// what the private bucket allows, and adds nothing. Until it is told there is no such bound.
 	Allowance struct{ Retries int }
+	// Hearsay says what others saw of a backend, a prior until this balancer has an answer of its own: Bad, since Age and
+	// to be taken so For a while; else that it is back.
+	Hearsay struct {
+		Backend  string
+		Bad      bool
+		Age, For time.Duration
+	}
 	// StreamStarted says that the answer of an attempt has begun to reach the client.
 	StreamStarted struct {
 		Request string
@@ -345,6 +352,7 @@
 func (Retune) event()        {}
 func (Room) event()          {}
 func (Allowance) event()     {}
+func (Hearsay) event()       {}
 func (StreamStarted) event() {}
 func (Abandoned) event()     {}
 func (ProbeResult) event()   {}
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"saltmast"
 	"saltmast/internal/config"
 	"saltmast/internal/core"
 	"saltmast/internal/peers"
@@ -31,6 +32,10 @@
 		o.Retries = &shared.Budget{Name: "retries", Rate: int64(r.Rate * 1000), Agents: r.Agents, Static: r.Static,
 			Lease: ms(r.LeaseMs), Burst: ms(r.BurstMs)}
 	}
+	if j := s.Judge; j != nil {
+		o.Terms.Fade = uint64(j.FadeS)
+		o.Judge = &peers.Judge{Witnesses: j.Witnesses, Part: j.Part, Up: a.table.Up, Started: a.table.Started, Say: a.hearsay}
+	}
 	p, err := peers.New(o)
 	if err != nil {
 		return err
@@ -48,6 +53,13 @@
 	return a.peers
 }
 
+// hearsay tells the modules what others saw of a backend.
+func (a *Agent) hearsay(backend string, bad bool, age, lasts time.Duration) {
+	for _, l := range a.loops {
+		l.Post(saltmast.Hearsay{Backend: backend, Bad: bad, Age: age, For: lasts})
+	}
+}
+
 // closePeers waits a little for the farewell.
 func (a *Agent) closePeers() {
 	if a.peers == nil {
--- a/internal/config/peers.go
+++ b/internal/config/peers.go
@@ -31,6 +31,7 @@
 	WindowS    int      `toml:"window_s"`         // length of a window of counts (30)
 	Windows    int      `toml:"windows"`          // that are kept, the present one included (10)
 	Retries    *Retries `toml:"retries"`
+	Judge      *Judge   `toml:"judge"`
 
 	Key []byte `toml:"-"` // as key_file has it
 }
@@ -44,6 +45,13 @@
 	BurstMs int     `toml:"burst_ms"`   // what is not spent is kept for so long (1000)
 }
 
+// Judge is how far an agent goes by what others saw of backends.
+type Judge struct {
+	Witnesses int     `toml:"witnesses"` // agents that have to have seen the same (3)
+	Part      float64 `toml:"part"`      // of the backends may be left out on their word at the most (0.2)
+	FadeS     int     `toml:"fade_s"`    // a word counts for so long (8)
+}
+
 // Addresses are those to join, with the file's as it stands now.
 func (p *Peers) Addresses() []string {
 	out := append([]string(nil), p.Join...)
@@ -127,7 +135,34 @@
 	if p.Cluster == "" {
 		p.Cluster = "violetlatch"
 	}
-	return p.Retries.check(f)
+	if err := p.Retries.check(f); err != nil {
+		return err
+	}
+	return p.Judge.check(f)
+}
+
+func (j *Judge) check(f *tomlfile.File) error {
+	if j == nil {
+		return nil
+	}
+	if j.Witnesses == 0 {
+		j.Witnesses = 3
+	}
+	if j.Part == 0 {
+		j.Part = 0.2
+	}
+	if j.FadeS == 0 {
+		j.FadeS = 8
+	}
+	switch {
+	case j.Witnesses < 2 || j.Witnesses > 100:
+		return f.Error("peers.judge.witnesses", fmt.Sprintf("%d is not from 2 to 100: one agent's word is never enough", j.Witnesses))
+	case !(j.Part > 0 && j.Part <= 0.5):
+		return f.Error("peers.judge.part", fmt.Sprintf("%v is not above 0 and up to 0.5", j.Part))
+	case j.FadeS < 2 || j.FadeS > 600:
+		return f.Error("peers.judge.fade_s", fmt.Sprintf("%d is not from 2 to 600", j.FadeS))
+	}
+	return nil
 }
 
 func (r *Retries) check(f *tomlfile.File) error {
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,11 +19,23 @@
 	counts map[shared.Kind]int
 	spent  int
 	missed int
+	sent   int
+	ended  []saltmast.Result
 }
 
 func (f *ledger) Count(_ uint64, _ int, k shared.Kind) { f.counts[k]++ }
 func (f *ledger) Left() int                            { return f.left }
 func (f *ledger) Missed()                              { f.missed++ }
+func (f *ledger) Sent(backend string, _ time.Duration) time.Duration {
+	f.sent++
+	return time.Duration(f.sent)
+}
+func (f *ledger) Ended(backend string, at time.Duration, r saltmast.Result, _ bool) {
+	if backend != "b" || at != time.Duration(len(f.ended)+1) {
+		panic("an attempt was ended that was not sent")
+	}
+	f.ended = append(f.ended, r)
+}
 func (f *ledger) Spend() bool {
 	if f.left <= 0 {
 		return false
@@ -91,6 +104,9 @@
 	if want := (map[shared.Kind]int{shared.Requests: 1, shared.Attempts: 2, shared.Retries: 1}); !maps.Equal(f.counts, want) {
 		t.Errorf("counted %v, want %v", f.counts, want)
 	}
+	if f.sent != 2 || !slices.Equal(f.ended, []saltmast.Result{saltmast.Errored, saltmast.Errored}) {
+		t.Errorf("%d sent, ended %v", f.sent, f.ended)
+	}
 	if f.spent != 1 || f.missed != 1 || len(told) == 0 || told[0].Retries != 1 || told[len(told)-1].Retries != 0 {
 		t.Errorf("%d spent, %d missed, told %v", f.spent, f.missed, told)
 	}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -200,6 +200,7 @@
 		event      saltmast.Outcome
 		payload    any
 		unrecorded bool
+		told, aim  time.Duration // of its attempt, see Fleet.Sent; told is negative where that was not called
 	}
 	drain struct{}
 	move  struct{ addr string }
@@ -221,6 +222,10 @@
 	Spend() bool
 	// Missed says that one was wanted and not tried.
 	Missed()
+	// Sent says that an attempt goes out to a backend that is to answer within an aim, and returns what to end it with.
+	Sent(backend string, aim time.Duration) (at time.Duration)
+	// Ended says how it ended; late: after the aim.
+	Ended(backend string, at time.Duration, r saltmast.Result, late bool)
 }
 
 // alone is the Fleet of an agent that shares nothing.
@@ -231,6 +236,9 @@
 func (alone) Spend() bool                    { return true }
 func (alone) Missed()                        {}
 
+func (alone) Sent(string, time.Duration) time.Duration           { return 0 }
+func (alone) Ended(string, time.Duration, saltmast.Result, bool) {}
+
 // Options are what a loop is made of.
 type Options struct {
 	Settings     saltmast.Settings
@@ -521,6 +529,9 @@
 	r := m.r
 	r.attempts[m.event.Attempt] = nil
 	r.out--
+	if m.aim > 0 && m.told >= 0 {
+		l.fleet.Ended(m.event.Backend, m.told, m.event.Result, m.event.Latency > m.aim)
+	}
 	if m.event.Result != saltmast.NotSent && m.event.Result != saltmast.ConnectFailed {
 		l.fleet.Count(r.event.Generation, r.class, shared.Attempts)
 	}
@@ -704,6 +715,11 @@
 		l.fleet.Count(r.event.Generation, r.class, shared.Retries)
 	}
 	until := l.clock.base.Add(cut - clockStart)
+	aim := r.rules.Classes[r.class].Aim
+	told := time.Duration(-1)
+	if !r.event.Coming { // how long a body takes to come says nothing of the backend
+		told = l.fleet.Sent(a.Backend, aim)
+	}
 	l.work.Go(func() {
 		rep := l.up.Attempt(ctx, &r.Call, a.Backend, until)
 		from := now
@@ -711,7 +727,7 @@
 			from = time.Duration(at)
 		}
 		event.Result, event.Latency, event.Load, event.Spent = rep.Result, max(0, l.clock.At(rep.At)-from), rep.Load, rep.Spent
-		l.post(outcome{r: r, event: event, payload: rep.Payload, unrecorded: rep.Unrecorded})
+		l.post(outcome{r: r, event: event, payload: rep.Payload, unrecorded: rep.Unrecorded, told: told, aim: aim})
 	})
 }
 
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -178,6 +178,26 @@
 	return l
 }
 
+// Started is when a backend's process started, as the list has it, Unix ms; 0 for one that is not listed.
+func (t *Members) Started(id string) int64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return int64(t.m[id].StartedMs)
+}
+
+// Up are the backends that may get new work, with their starts, Unix ms.
+func (t *Members) Up() map[string]int64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	out := map[string]int64{}
+	for id, s := range t.m {
+		if s.State == "SERVING" && !t.out[id] {
+			out[id] = int64(s.StartedMs)
+		}
+	}
+	return out
+}
+
 // Any tells whether some backend may get new work.
 func (t *Members) Any() bool {
 	t.mu.RLock()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -21,6 +21,7 @@
 
 	"github.com/hashicorp/memberlist"
 
+	"saltmast"
 	"saltmast/internal/shared"
 )
 
@@ -43,14 +44,29 @@
 	Terms       shared.Terms
 	Retries     *shared.Budget // the fleet's; nil: none
 	Wrong       shared.Wrong   // a mistake on purpose, for the kit to prove that it shows
+	Judge       *Judge         // nil: no agent goes by what others saw
 	Log         *slog.Logger
 }
 
+// Judge is how far this agent goes by what others saw, and whom it tells. Its calls must not block for long.
+type Judge struct {
+	Witnesses int
+	Part      float64
+	Up        func() map[string]int64    // backends that may get new work, with their starts
+	Started   func(backend string) int64 // of one, as the list has it
+	Say       func(backend string, bad bool, age, lasts time.Duration)
+}
+
 const (
 	// stepEvery is how often what was counted is taken over, and rights are looked after.
 	stepEvery = 250 * time.Millisecond
 	// rightsEvery is how often rights are asked for.
 	rightsEvery = time.Second
+	// sayEach is how often a verdict that lasts is said again, which it is for saidFor.
+	sayEach, saidFor = time.Second, 2500 * time.Millisecond
+	// patientFor is how long a backend may answer nothing before it is taken for silent, as a share of the aim: longer than
+	// the module's own bound, which tries again and tells nobody.
+	patientFor = 0.5
 	// leaveFor is how long a farewell may take.
 	leaveFor = 100 * time.Millisecond
 	// forgetAfter is how long a lost member is called.
@@ -76,6 +92,10 @@
 	members map[string]*member
 	rng     *rand.Rand
 
+	witness  *shared.Witness
+	verdicts []shared.Verdict         // as last judged
+	said     map[string]time.Duration // of those that are bad: when it was last said
+
 	counters counters
 	sent     atomic.Int64 // bytes of counts and rights
 	got      atomic.Int64
@@ -95,7 +115,7 @@
 // New listens; what it hears is merged from then on, and Run says something.
 func New(o Options) (*Peers, error) {
 	p := &Peers{o: o, self: shared.Agent{Name: o.Name, Incarnation: o.Incarnation}, began: time.Now(), log: o.Log.With("part", "peers"),
-		members: map[string]*member{}, done: make(chan struct{}), rng: rand.New(rand.NewPCG(o.Incarnation, 1)), queue: newQueue(o.BytesASec)}
+		members: map[string]*member{}, done: make(chan struct{}), witness: shared.NewWitness(), said: map[string]time.Duration{}, rng: rand.New(rand.NewPCG(o.Incarnation, 1)), queue: newQueue(o.BytesASec)}
 	p.rare = newRarely(p.log)
 	p.value = shared.NewWrongValue(p.self, o.Terms, p.now(), o.Wrong)
 	if o.Retries != nil {
@@ -213,6 +233,9 @@
 		case <-tick.C:
 		}
 		p.takeOver()
+		if p.o.Judge != nil {
+			p.judge()
+		}
 		if now := p.now(); p.rights != nil && now-asked >= rightsEvery {
 			asked = now
 			p.mu.Lock()
@@ -246,6 +269,96 @@
 	}
 }
 
+// judge looks at the evidence, tells what this agent sees itself, and says what has become of others' word.
+func (p *Peers) judge() {
+	up := p.o.Judge.Up()
+	p.mu.Lock()
+	now := p.now()
+	p.value.Forget()
+	copies := p.copies()
+	for _, e := range p.witness.Tell(now, p.value.Turn(), p.o.Terms.Fade, p.value.Doubted()) {
+		p.value.Testify(e)
+		e.Agent = p.self
+		p.queue.word(e, copies)
+	}
+	bench := shared.Bench{Witnesses: p.o.Judge.Witnesses, Part: p.o.Judge.Part, Backends: up, Zones: map[shared.Agent]string{}}
+	for _, m := range p.members {
+		if m.alive {
+			bench.Zones[m.agent] = m.zone
+		} else {
+			bench.Lost++
+		}
+	}
+	p.verdicts = p.value.Judge(bench)
+	turn := p.o.Terms.Turn
+	type word struct {
+		shared.Verdict
+		age time.Duration
+	}
+	var say []word
+	bad := map[string]bool{}
+	for _, v := range p.verdicts {
+		age := time.Duration(v.Age+1) * turn
+		at, was := p.said[v.Backend]
+		switch {
+		case v.Bad:
+			bad[v.Backend] = true
+			if !was || now-at >= sayEach {
+				p.said[v.Backend] = now
+				say = append(say, word{v, age})
+			}
+			if !was {
+				p.log.Info("a backend is left out on others' word", "backend", v.Backend, "agents", v.For)
+			}
+		case was:
+			say = append(say, word{v, age})
+		}
+	}
+	for id := range p.said {
+		if !bad[id] {
+			delete(p.said, id)
+			p.log.Info("others' word on a backend has ended", "backend", id)
+		}
+	}
+	p.mu.Unlock()
+	for _, w := range say {
+		p.o.Judge.Say(w.Backend, w.Bad, w.age, saidFor)
+	}
+}
+
+// Sent notes an attempt that goes out, and returns what to end it with.
+func (p *Peers) Sent(backend string, aim time.Duration) time.Duration {
+	if p.o.Judge == nil {
+		return 0
+	}
+	started := p.o.Judge.Started(backend)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	p.witness.Sent(now, p.value.Turn(), backend, started, time.Duration(patientFor*float64(aim)))
+	return now
+}
+
+// Ended notes how an attempt ended. What was withdrawn, was not sent or was turned away says nothing of its backend.
+func (p *Peers) Ended(backend string, at time.Duration, r saltmast.Result, late bool) {
+	if p.o.Judge == nil {
+		return
+	}
+	var seen *shared.Seen
+	switch {
+	case r == saltmast.OK && late:
+		seen = &shared.Seen{Slow: 1}
+	case r == saltmast.OK:
+		seen = &shared.Seen{Good: 1}
+	case r == saltmast.Errored || r == saltmast.TimedOut || r == saltmast.ConnectFailed || r == saltmast.Reset:
+		seen = &shared.Seen{Bad: 1}
+	}
+	started := p.o.Judge.Started(backend)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.witness.Ended(p.now(), p.value.Turn(), backend, started, at, seen)
+}
+
 // copies is how often a record is told: by that many, over a few members each, it reaches all but surely.
 func (p *Peers) copies() int {
 	n := 0
@@ -372,7 +485,10 @@
 	defer p.mu.Unlock()
 	fresh, err := p.value.Merge(p.now(), d)
 	copies := p.copies()
-	for _, r := range fresh {
+	for _, e := range fresh.Evidence {
+		p.queue.word(e, copies)
+	}
+	for _, r := range fresh.Records {
 		p.queue.put(r, copies)
 	}
 	return err
--- a/internal/peers/queue.go
+++ b/internal/peers/queue.go
@@ -13,6 +13,8 @@
 	rate   float64 // bytes a second
 	budget float64
 	at     time.Duration
+	first  []of // evidence goes before counts
+	words  map[of]*word
 	line   []key
 	waits  map[key]*waiting
 	last   map[uint64]map[string]shared.Tally // of this agent's own, by window
@@ -23,6 +25,18 @@
 	window uint64
 }
 
+// of is what a word of evidence replaces.
+type of struct {
+	agent   shared.Agent
+	backend string
+	started int64
+}
+
+type word struct {
+	evidence shared.Evidence
+	copies   int
+}
+
 type waiting struct {
 	record shared.Record
 	copies int
@@ -35,7 +49,7 @@
 const fits = 1000
 
 func newQueue(bytesASec int) queue {
-	return queue{rate: float64(bytesASec), waits: map[key]*waiting{}, last: map[uint64]map[string]shared.Tally{}}
+	return queue{rate: float64(bytesASec), words: map[of]*word{}, waits: map[key]*waiting{}, last: map[uint64]map[string]shared.Tally{}}
 }
 
 // put takes a record that is to be told so often.
@@ -53,6 +67,22 @@
 	q.waits[k] = &waiting{r, copies}
 }
 
+// word takes evidence that is to be told so often.
+func (q *queue) word(e shared.Evidence, copies int) {
+	k := of{e.Agent, e.Backend, e.Started}
+	if w := q.words[k]; w != nil {
+		if w.evidence != e {
+			*w = word{e, copies}
+		}
+		return
+	}
+	if len(q.first) >= mostWaiting {
+		return
+	}
+	q.first = append(q.first, k)
+	q.words[k] = &word{e, copies}
+}
+
 // own takes this agent's record if it is not the one that was taken last.
 func (q *queue) own(r shared.Record, copies int) {
 	if maps.Equal(q.last[r.Window], r.Counts) {
@@ -69,22 +99,37 @@
 	q.budget = min(q.budget+q.rate*(now-q.at).Seconds(), max(q.rate, 1400))
 	q.at = now
 	limit = min(limit, int(q.budget))
-	if len(q.line) == 0 || limit < 32 {
+	if len(q.line)+len(q.first) == 0 || limit < 32 {
 		return nil
 	}
 	d := shared.Delta{Turn: turn}
+	for _, k := range q.first[:min(len(q.first), 64)] {
+		d.Evidence = append(d.Evidence, q.words[k].evidence)
+	}
 	for _, k := range q.line[:min(len(q.line), 64)] {
 		d.Records = append(d.Records, q.waits[k].record)
 	}
 	raw, n := shared.AppendDelta(nil, d, limit)
 	if n == 0 {
-		if limit >= fits { // it never will: the exchange of whole states brings it
+		if limit >= fits && len(q.first) == 0 { // it never will: the exchange of whole states brings it
 			delete(q.waits, q.line[0])
 			q.line = q.line[1:]
 		}
 		return nil
 	}
 	q.budget -= float64(len(raw))
+	told := min(n, len(d.Evidence))
+	n -= told
+	var later []of
+	for _, k := range q.first[:told] {
+		if w := q.words[k]; w.copies > 1 {
+			w.copies--
+			later = append(later, k)
+		} else {
+			delete(q.words, k)
+		}
+	}
+	q.first = append(q.first[told:len(q.first):len(q.first)], later...)
 	var again []key
 	for _, k := range q.line[:n] {
 		if w := q.waits[k]; w.copies > 1 {
--- a/internal/peers/view.go
+++ b/internal/peers/view.go
@@ -36,6 +36,19 @@
 	Turn    uint64           `json:"turn"`
 	Windows []Window         `json:"windows"` // the oldest first
 	Retries *shared.Standing `json:"retries,omitempty"`
+
+	Judged   []shared.Verdict `json:"judged,omitempty"`
+	Evidence []Word           `json:"evidence,omitempty"`
+}
+
+// Word is what one agent saw of a backend.
+type Word struct {
+	Agent   string `json:"agent"`
+	Backend string `json:"backend"`
+	Age     uint64 `json:"age"` // turns
+	Good    uint64 `json:"good"`
+	Slow    uint64 `json:"slow"`
+	Bad     uint64 `json:"bad"`
 }
 
 // Window is what is known of one window of counts.
@@ -103,6 +116,10 @@
 		}
 		s.Windows = append(s.Windows, w)
 	}
+	s.Judged = p.verdicts
+	for _, e := range p.value.Evidence() {
+		s.Evidence = append(s.Evidence, Word{e.Agent.String(), e.Backend, p.value.Turn() - e.Turn, e.Seen.Good, e.Seen.Slow, e.Seen.Bad})
+	}
 	if p.rights != nil {
 		st := p.rights.Standing(now)
 		s.Retries = &st
--- a/internal/rehearsal/fleet.go
+++ b/internal/rehearsal/fleet.go
@@ -33,6 +33,9 @@
 	Static  float64
 	LeaseMs int
 	BurstMs int
+
+	Witnesses int // 0: no agent goes by what others saw of backends
+	FadeS     int
 }
 
 // Fleet is the agents of a run while it is played, for what happens between them. Agents count from 0.
@@ -95,6 +98,11 @@
 		number("lease_ms", float64(o.LeaseMs))
 		number("burst_ms", float64(o.BurstMs))
 	}
+	if o.Witnesses > 0 {
+		b.WriteString("[peers.judge]\n")
+		number("witnesses", float64(o.Witnesses))
+		number("fade_s", float64(o.FadeS))
+	}
 	a.peers, a.advertise = b.String(), advertise
 	return nil
 }
--- a/internal/rehearsal/fleet_test.go
+++ b/internal/rehearsal/fleet_test.go
@@ -401,3 +401,62 @@
 			})
 		}})
 }
+
+// judged are the backends that an agent leaves out on others' word.
+func judged(s peers.Shared) (bad []string) {
+	for _, v := range s.Judged {
+		if v.Bad {
+			bad = append(bad, v.Backend)
+		}
+	}
+	return bad
+}
+
+// A backend takes requests and answers none. All agents learn of it, those that have hardly any traffic too, by the word of
+// three of two zones; and of no other. Once it is back and answers, nobody leaves it out.
+func TestAllLearnOfASilentBackendAndOfItsReturn(t *testing.T) {
+	s := calm()
+	s.Agents, s.Servers, s.PodSize, s.ForS, s.Rate = 8, 8, 4, 8, 250
+	s.Clients.Skew, s.Clients.BusyPart, s.Clients.BusyTimes = 0, 0.5, 30
+	for i := range s.Classes {
+		s.Classes[i].WorkMs = 2
+	}
+	s.Faults = []scenario.Fault{{Kind: scenario.Swallow, AtS: 1, ForS: 3, Servers: []int{2}}}
+	p := quick()
+	p.Zones, p.Witnesses, p.FadeS = 2, 3, 3
+	learned := false
+	playFleet(t, s, Options{Peers: p,
+		During: func(ctx context.Context, f *Fleet) error {
+			server := ""
+			err := f.Until(ctx, "all to leave out one backend", longWait, func() bool {
+				for i := range f.Agents() {
+					s, err := f.Shared(ctx, i)
+					if err != nil || len(judged(s)) != 1 {
+						return false
+					}
+					if server == "" {
+						server = judged(s)[0]
+					}
+					if judged(s)[0] != server {
+						t.Errorf("%s leaves out %v, another %s", f.Name(i), judged(s), server)
+					}
+				}
+				return true
+			})
+			learned = err == nil
+			return err
+		},
+		After: func(ctx context.Context, f *Fleet) error {
+			return f.Until(ctx, "nobody to leave out any", longWait, func() bool {
+				for i := range f.Agents() {
+					if s, err := f.Shared(ctx, i); err != nil || len(judged(s)) > 0 {
+						return false
+					}
+				}
+				return true
+			})
+		}})
+	if !learned {
+		t.Error("not learned")
+	}
+}
--- a/internal/shared/codec.go
+++ b/internal/shared/codec.go
@@ -13,16 +13,31 @@
 const (
 	isDelta = 'd'
 	isWord  = 'w'
+
+	isRecord, isEvidence = 'r', 'e' // before each part of a delta
 )
 
-// AppendDelta writes a delta: the turn, then records up to so many bytes in all; it returns how many of them found place.
-// Numbers are varints, texts have their length before them.
+// AppendDelta writes a delta: the turn, then evidence, then records, up to so many bytes in all; it returns how many of
+// both found place. Numbers are varints, texts have their length before them.
 func AppendDelta(b []byte, d Delta, limit int) ([]byte, int) {
 	b = append(b, Version, isDelta)
 	b = binary.AppendUvarint(b, d.Turn)
 	n := 0
+	for _, e := range d.Evidence {
+		at := len(b)
+		b = appendAgent(append(b, isEvidence), e.Agent)
+		b = binary.AppendVarint(appendText(b, e.Backend), e.Started)
+		for _, c := range []uint64{e.Turn, e.Seen.Good, e.Seen.Slow, e.Seen.Bad} {
+			b = binary.AppendUvarint(b, c)
+		}
+		if len(b) > limit {
+			return b[:at], n
+		}
+		n++
+	}
 	for _, r := range d.Records {
 		at := len(b)
+		b = append(b, isRecord)
 		b = appendAgent(b, r.Agent)
 		b = binary.AppendUvarint(b, r.Window)
 		b = binary.AppendUvarint(b, uint64(len(r.Counts)))
@@ -60,6 +75,14 @@
 	case isDelta:
 		d := Delta{Turn: r.number()}
 		for len(r.raw) > 0 && !r.bad {
+			kind := r.byte()
+			if kind == isEvidence {
+				e := Evidence{Agent: r.agent(), Backend: r.text(LabelBytes), Started: r.signed(), Turn: r.number()}
+				e.Seen = Seen{r.number(), r.number(), r.number()}
+				d.Evidence = append(d.Evidence, e)
+				continue
+			}
+			r.bad = r.bad || kind != isRecord
 			rec := Record{Agent: r.agent(), Window: r.number(), Counts: map[string]Tally{}}
 			for n := r.number(); n > 0 && !r.bad; n-- {
 				label := r.text(LabelBytes)
@@ -132,6 +155,16 @@
 	return n
 }
 
+func (r *reader) signed() int64 {
+	n, size := binary.Varint(r.raw)
+	if size <= 0 {
+		r.bad, r.raw = true, nil
+		return 0
+	}
+	r.raw = r.raw[size:]
+	return n
+}
+
 func (r *reader) text(most int) string {
 	n := r.number()
 	if n > uint64(most) {
--- a/internal/shared/value.go
+++ b/internal/shared/value.go
@@ -35,6 +35,7 @@
 	Window  int           // turns in a window of counts
 	Windows int           // that are kept, the present one included
 	Agents  int           // incarnations that may be held at once, this one included
+	Fade    uint64        // turns after which evidence counts no more
 }
 
 // Value is what an agent knows of the fleet's counts and of its time. It belongs to one goroutine.
@@ -54,6 +55,8 @@
 	since  time.Duration // when this turn began here
 	agents map[Agent]*known
 	wrong  Wrong
+
+	evidence map[of]Evidence
 }
 
 // known is what is known of one agent.
@@ -64,7 +67,7 @@
 
 // NewValue returns the value of an agent that has heard nothing.
 func NewValue(self Agent, t Terms, now time.Duration) *Value {
-	return &Value{terms: t, self: self, since: now, agents: map[Agent]*known{}}
+	return &Value{terms: t, self: self, since: now, agents: map[Agent]*known{}, evidence: map[of]Evidence{}}
 }
 
 // Turn is the present turn, Window the present window.
@@ -142,27 +145,32 @@
 
 // Delta is a message: the sender's turn and some records. A whole state is one with all records.
 type Delta struct {
-	Turn    uint64
-	Records []Record
+	Turn     uint64
+	Records  []Record
+	Evidence []Evidence
 }
 
-// Merge joins what came and returns the records that brought something new, to be passed on. Records of windows that are
+// Merge joins what came and returns what of it brought something new, to be passed on. Records of windows that are
 // forgotten, or that would be ahead of the sender's own turn, are passed over, and so are those of more agents than
 // Terms.Agents. A turn that leads by more than maxLeap is refused, and so is a count beyond maxCount: then nothing of the
 // message is merged. What others say of this incarnation is passed over: it knows better.
-func (v *Value) Merge(now time.Duration, d Delta) ([]Record, error) {
+func (v *Value) Merge(now time.Duration, d Delta) (fresh Delta, err error) {
 	if err := d.check(); err != nil {
-		return nil, err
+		return Delta{}, err
 	}
 	v.Advance(now)
 	if d.Turn > v.turn+maxLeap {
-		return nil, ErrBad
+		return Delta{}, ErrBad
 	}
 	if d.Turn > v.turn {
 		v.since = now
 		v.lead(d.Turn)
 	}
-	var fresh []Record
+	for _, e := range d.Evidence {
+		if e.Agent != v.self && v.testify(e) {
+			fresh.Evidence = append(fresh.Evidence, v.evidence[e.key()])
+		}
+	}
 	for _, r := range d.Records {
 		if r.Agent == v.self || r.Window < v.oldest() || r.Window > v.Window() {
 			continue
@@ -189,7 +197,7 @@
 		}
 		if news {
 			v.agents[r.Agent].heard = now
-			fresh = append(fresh, Record{r.Agent, r.Window, maps.Clone(mine)})
+			fresh.Records = append(fresh.Records, Record{r.Agent, r.Window, maps.Clone(mine)})
 		}
 	}
 	return fresh, nil
@@ -210,6 +218,12 @@
 			}
 		}
 	}
+	for _, e := range d.Evidence {
+		if e.Agent.Name == "" || len(e.Agent.Name) > NameBytes || e.Backend == "" || len(e.Backend) > LabelBytes ||
+			max(e.Seen.Good, e.Seen.Slow, e.Seen.Bad) > maxSeen || e.Turn > d.Turn {
+			return ErrBad
+		}
+	}
 	return nil
 }
 
@@ -224,7 +238,7 @@
 
 // Whole is all that is known, in one order.
 func (v *Value) Whole() Delta {
-	d := Delta{Turn: v.turn}
+	d := Delta{Turn: v.turn, Evidence: v.all()}
 	for _, a := range slices.SortedFunc(maps.Keys(v.agents), Agent.Compare) {
 		for _, w := range slices.Sorted(maps.Keys(v.agents[a].windows)) {
 			d.Records = append(d.Records, Record{a, w, maps.Clone(v.agents[a].windows[w])})
--- a/internal/shared/value_test.go
+++ b/internal/shared/value_test.go
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 )
 
-var terms = Terms{Turn: time.Second, Window: 10, Windows: 3, Agents: 8}
+var terms = Terms{Turn: time.Second, Window: 10, Windows: 3, Agents: 8, Fade: 8}
 
 var agents = []Agent{{"a", 1}, {"b", 1}, {"b", 2}, {"c", 1}}
 
@@ -27,6 +27,11 @@
 		}
 		d.Records = append(d.Records, r)
 	}
+	for range rapid.IntRange(0, 3).Draw(t, "evidence") {
+		seen := rapid.Uint64Range(0, 9)
+		d.Evidence = append(d.Evidence, Evidence{rapid.SampledFrom(agents).Draw(t, "witness"), rapid.SampledFrom([]string{"s0", "s1"}).Draw(t, "backend"),
+			rapid.Int64Range(0, 1).Draw(t, "started"), rapid.Uint64Range(0, d.Turn).Draw(t, "seen at"), Seen{seen.Draw(t, "good"), seen.Draw(t, "slow"), seen.Draw(t, "bad")}})
+	}
 	return d
 }
 
@@ -74,7 +79,7 @@
 		}
 		return out
 	}
-	return a.Turn == b.Turn && reflect.DeepEqual(flat(a), flat(b))
+	return a.Turn == b.Turn && reflect.DeepEqual(flat(a), flat(b)) && slices.Equal(a.Evidence, b.Evidence)
 }
 
 // Agents count, talk by deltas and whole states that get lost, repeated and late, and start anew: no sum that one of them
@@ -104,7 +109,7 @@
 				way = append(way, v.Whole())
 			case 3:
 				if r, ok := v.Own(v.Window()); ok {
-					way = append(way, Delta{v.Turn(), []Record{r}})
+					way = append(way, Delta{Turn: v.Turn(), Records: []Record{r}})
 				}
 			case 4:
 				if len(way) > 0 {
@@ -143,7 +148,7 @@
 	if _, ok := v.Heard(0)[agents[0]]; ok {
 		t.Error("still known after its last window has gone")
 	}
-	if fresh, err := v.Merge(30*time.Second, old); err != nil || fresh != nil || len(v.Sum(0)) != 0 {
+	if fresh, err := v.Merge(30*time.Second, old); err != nil || fresh.Records != nil || len(v.Sum(0)) != 0 {
 		t.Errorf("an old message brought it back: %v, %v", fresh, err)
 	}
 }
@@ -165,10 +170,10 @@
 func TestNonsenseIsRefusedWhole(t *testing.T) {
 	good := Record{agents[1], 0, map[string]Tally{"x": {1}}}
 	for name, d := range map[string]Delta{
-		"a count beyond all":   {0, []Record{good, {agents[0], 0, map[string]Tally{"x": {1 << 63}}}}},
-		"a turn of next age":   {1 << 40, []Record{good}},
-		"a turn beyond all":    {1 << 63, []Record{good}},
-		"an agent without one": {0, []Record{good, {Agent{}, 0, nil}}},
+		"a count beyond all":   {Turn: 0, Records: []Record{good, {agents[0], 0, map[string]Tally{"x": {1 << 63}}}}},
+		"a turn of next age":   {Turn: 1 << 40, Records: []Record{good}},
+		"a turn beyond all":    {Turn: 1 << 63, Records: []Record{good}},
+		"an agent without one": {Turn: 0, Records: []Record{good, {Agent{}, 0, nil}}},
 	} {
 		v := merged()
 		if _, err := v.Merge(0, d); !errors.Is(err, ErrBad) || len(v.Windows()) != 0 || v.Turn() != 0 {
@@ -180,7 +185,7 @@
 func TestBoundsOnAgentsAndLabels(t *testing.T) {
 	v := merged()
 	for i := range 20 {
-		if _, err := v.Merge(0, Delta{0, []Record{{Agent{"n", uint64(i)}, 0, map[string]Tally{"x": {1}}}}}); err != nil {
+		if _, err := v.Merge(0, Delta{Turn: 0, Records: []Record{{Agent{"n", uint64(i)}, 0, map[string]Tally{"x": {1}}}}}); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -202,12 +207,12 @@
 		d := drawDelta(t)
 		raw, n := AppendDelta(nil, d, 1<<20)
 		got, err := Decode(raw)
-		if err != nil || n != len(d.Records) || !reflect.DeepEqual(got, d) {
+		if err != nil || n != len(d.Records)+len(d.Evidence) || !reflect.DeepEqual(got, d) {
 			t.Fatalf("%v, %v, want %v", got, err, d)
 		}
 		limit := rapid.IntRange(0, len(raw)).Draw(t, "limit")
 		part, n := AppendDelta(nil, d, limit)
-		if got, err = Decode(part); err != nil || len(got.(Delta).Records) != n || n > 0 && len(part) > limit {
+		if got, err = Decode(part); err != nil || len(got.(Delta).Records)+len(got.(Delta).Evidence) != n || n > 0 && len(part) > limit {
 			t.Fatalf("%d bytes of %d, %d records: %v, %v", len(part), limit, n, got, err)
 		}
 	})
@@ -227,7 +232,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	d, _ := AppendDelta(nil, Delta{3, []Record{{agents[0], 0, map[string]Tally{"x": {1, 2, 3, 4}}}}}, 1<<10)
+	d, _ := AppendDelta(nil, Delta{Turn: 3, Records: []Record{{agents[0], 0, map[string]Tally{"x": {1, 2, 3, 4}}}}}, 1<<10)
 	f.Add(d)
 	f.Add(AppendMessage(nil, Message{Word: Ask, Budget: "retries", From: agents[0], To: agents[1], Seq: 3, Amount: 250}))
 	f.Fuzz(func(t *testing.T, raw []byte) {
@@ -243,7 +248,7 @@
 				t.Fatalf("%v", v.Whole())
 			}
 			again, n := AppendDelta(nil, m, 1<<30)
-			if back, err := Decode(again); err != nil || n != len(m.Records) || !reflect.DeepEqual(back, m) {
+			if back, err := Decode(again); err != nil || n != len(m.Records)+len(m.Evidence) || !reflect.DeepEqual(back, m) {
 				t.Fatalf("%v became %v, %v", m, back, err)
 			}
 		case Message:
--- a/saltmast.go
+++ b/saltmast.go
@@ -8,6 +8,7 @@
 // rules.
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -123,9 +124,9 @@
 
 // rulesOf are the settings that a request arrived under; nil: they are forgotten.
 func (b *Balancer) rulesOf(generation uint64) *rules {
-	for i := len(b.rules) - 1; i >= 0; i-- {
-		if b.rules[i].s.Generation == generation {
-			return b.rules[i]
+	for _, r := range slices.Backward(b.rules) {
+		if r.s.Generation == generation {
+			return r
 		}
 	}
 	return nil
@@ -168,6 +169,9 @@
 					b.allow--
 				}
 			}
+		case Hearsay:
+			b.onHearsay(e)
+			b.measure()
 		case StreamStarted:
 			if r := b.requests[e.Request]; r != nil && !r.ended {
 				r.stream = true
@@ -344,12 +348,7 @@
 
 func (b *Balancer) unhold(r *request) {
 	r.holding = false
-	for i, h := range b.held {
-		if h == r {
-			b.held = append(b.held[:i], b.held[i+1:]...)
-			return
-		}
-	}
+	b.held = slices.DeleteFunc(b.held, func(h *request) bool { return h == r })
 }
 
 // releaseHeld sends what is held while there is room: first tries before clients'
@@ -406,12 +405,7 @@
 // of a burst that would be over at once some are given up that could have been served.
 func (b *Balancer) keepSpare() {
 	for b.maxOpen > 0 && float64(b.taken) > (1-sparePlaces)*float64(b.maxOpen) && len(b.held) > 0 {
-		worst := b.held[0]
-		for _, r := range b.held {
-			if b.heldValue(r) < b.heldValue(worst) {
-				worst = r
-			}
-		}
+		worst := slices.MinFunc(b.held, func(x, y *request) int { return cmp.Compare(b.heldValue(x), b.heldValue(y)) })
 		b.unhold(worst)
 		b.giveUp(worst)
 	}
@@ -900,6 +894,18 @@
 	t.ejected = b.now + time.Duration(math.Exp2(t.strikes-1)*(0.75+0.5*b.rng.Float64())*float64(c.Aim))
 }
 
+// onHearsay takes what others saw of a backend for a first strike, or takes that back. Guards against quiet agents that
+// each lose requests to a backend that others know to be silent. What has answered since counts for more.
+func (b *Balancer) onHearsay(e Hearsay) {
+	switch t := b.byID[e.Backend]; {
+	case t == nil || t.heard > b.now-e.Age:
+	case e.Bad:
+		t.ejected, t.struckAt, t.strikes, t.hearsay = max(t.ejected, b.now+e.For), b.now, max(t.strikes, 1), true
+	case t.hearsay:
+		t.ejected, t.strikes, t.hearsay = b.now, 0, false
+	}
+}
+
 // shun leaves a backend out for one class for a while that doubles with each further silence of it.
 // Guards against backends that leave one class unanswered and serve the others, on which they are kept.
 // Acts only for a class that fares clearly worse than another: where answers of all classes get lost,
@@ -1149,7 +1155,7 @@
 		}
 		if n.Started > t.Started {
 			b.start(t, max(n.Started, t.warmFrom))
-			t.strikes, t.ejected, t.down = 0, 0, false
+			t.strikes, t.ejected, t.down, t.hearsay = 0, 0, false, false
 			b.join(t, part)
 		}
 		t.Backend = n
@@ -1261,12 +1267,7 @@
 }
 
 func (t *backend) drop(a *attempt) {
-	for i, o := range t.out {
-		if o == a {
-			t.out = append(t.out[:i], t.out[i+1:]...)
-			return
-		}
-	}
+	t.out = slices.DeleteFunc(t.out, func(o *attempt) bool { return o == a })
 }
 
 func blend(mean, sample float64) float64 {
--- a/state.go
+++ b/state.go
@@ -94,6 +94,7 @@
 	usedAt   time.Duration // when that was last used
 	joined   bool          // drawn into the working set when it joined, and not tried yet
 	drawn    float64       // the chance of that draw; 0: it was not drawn
+	hearsay  bool          // left out on the word of others
 	// withdrawn: operators have taken it out of service. back: they have put it back, and it was not tried since.
 	withdrawn, back bool
 	warmFrom        time.Duration // when its latest start became known or seen
