A fourth flawed agent: one that believes a single witness, caught by the judgement rule

Need: the rule about judgements had no agent that breaks it. Change: believes-one, and a scenario of requests that fail now and then at quiet agents. Result: caught twice the same; the agent that keeps the bounds breaks no rule there. Failed first: a halted agent's time-outs, which are too few to make it a witness.

--- a/internal/rehearsal/fleet_test.go
+++ b/internal/rehearsal/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -451,3 +452,40 @@
 		t.Error("not learned")
 	}
 }
+
+// Requests fail now and then wherever they go, so that a quiet agent sees two of a backend fail and none served, by chance.
+// Those who believe one agent leave out backends that serve; the rule about judgements catches it, twice the same. Those who
+// judge by the bounds do not.
+func TestBelievingOneAgentIsCaught(t *testing.T) {
+	for _, flaw := range []string{"believes-one", "believes-one", ""} {
+		s := calm()
+		s.Agents, s.Servers, s.PodSize, s.ForS, s.Rate = 6, 6, 3, 10, 24
+		s.Clients.Skew, s.Clients.Retries, s.Server.ErrorRate = 0, 0, 0.35
+		for i := range s.Classes {
+			s.Classes[i].WorkMs, s.Classes[i].Effect = 2, scenario.Safe
+		}
+		s.Peers = quick()
+		s.Peers.Witnesses, s.Peers.FadeS = 3, 6
+		if err := s.Check(); err != nil {
+			t.Fatal(err)
+		}
+		command := self("agent")
+		if flaw != "" {
+			command = self("naive", flaw)
+		}
+		res, err := PlayFleet(context.Background(), Options{Plan: scenario.MakePlan(s), Command: command})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var rules []string
+		for _, b := range res.Broken {
+			if !slices.Contains(rules, b.Rule) {
+				rules = append(rules, b.Rule)
+			}
+		}
+		if want := flaw != ""; slices.Equal(rules, []string{RuleJudgement}) != want || !want && len(rules) > 0 {
+			t.Errorf("%q: broke %v", flaw, res.Broken)
+		}
+		t.Logf("%q: %s", flaw, res.Line())
+	}
+}
--- a/internal/shared/judge.go
+++ b/internal/shared/judge.go
@@ -92,12 +92,21 @@
 		}
 		d.Age = v.turn - oldest
 		d.Bad = len(d.For) >= max(2, b.Witnesses) && len(d.For) > len(d.Against) && !home && (len(zones) < 2 || len(from) >= 2)
+		if v.wrong == BelievesOne {
+			d.Bad = false
+			for _, e := range group {
+				d.Bad = d.Bad || e.Seen.bad()
+			}
+		}
 		back := len(d.Against) >= max(2, b.Witnesses) && len(d.Against) > len(d.For)
 		if d.Bad || back {
 			out = append(out, d)
 			weight[id] = len(d.For) - len(d.Against)
 		}
 	}
+	if v.wrong == BelievesOne {
+		return out
+	}
 	most := int(b.Part * float64(len(b.Backends)))
 	bads := slices.DeleteFunc(slices.Clone(out), func(d Verdict) bool { return !d.Bad })
 	slices.SortStableFunc(bads, func(x, y Verdict) int { return cmp.Compare(weight[y.Backend], weight[x.Backend]) })
--- a/internal/shared/wrong.go
+++ b/internal/shared/wrong.go
@@ -13,13 +13,14 @@
 	AppliesTwice       // a grant that comes twice counts twice
 	KeepsRights        // what was borrowed is held for good
 	CountsTwice        // counts that are heard are added to those that are known
+	BelievesOne        // one agent is believed, whoever it is and whatever others say
 )
 
 // Mistakes are those about rights, by name.
 var Mistakes = map[string]Wrong{"lender-clock": LenderClock, "takes-silent": TakesSilent, "applies-twice": AppliesTwice, "keeps-rights": KeepsRights}
 
 // Flaws are those that processes are started with, by name.
-var Flaws = map[string]Wrong{"takes-silent": TakesSilent, "keeps-rights": KeepsRights, "counts-twice": CountsTwice}
+var Flaws = map[string]Wrong{"takes-silent": TakesSilent, "keeps-rights": KeepsRights, "counts-twice": CountsTwice, "believes-one": BelievesOne}
 
 // NewWrongValue returns a value that makes a mistake.
 func NewWrongValue(self Agent, t Terms, now time.Duration, w Wrong) *Value {
