--- a/saltmast.go
+++ b/saltmast.go
@@ -405,7 +405,9 @@
 // of a burst that would be over at once some are given up that could have been served.
 func (b *Balancer) keepSpare() {
 	for b.maxOpen > 0 && float64(b.taken) > (1-sparePlaces)*float64(b.maxOpen) && len(b.held) > 0 {
-		worst := slices.MinFunc(b.held, func(x, y *request) int { return cmp.Compare(b.heldValue(x), b.heldValue(y)) })
+		worst := slices.MinFunc(b.held, func(x, y *request) int {
+			return cmp.Compare(b.heldValue(x), b.heldValue(y))
+		})
 		b.unhold(worst)
 		b.giveUp(worst)
 	}
@@ -894,13 +896,14 @@
 	t.ejected = b.now + time.Duration(math.Exp2(t.strikes-1)*(0.75+0.5*b.rng.Float64())*float64(c.Aim))
 }
 
-// onHearsay takes what others saw of a backend for a first strike, or takes that back. Guards against quiet agents that
-// each lose requests to a backend that others know to be silent. What has answered since counts for more.
+// onHearsay takes others' word on a backend for a first strike, or takes that back; an answer of its own since
+// then counts for more. Guards against quiet agents that each lose requests to one that is known to be silent.
 func (b *Balancer) onHearsay(e Hearsay) {
 	switch t := b.byID[e.Backend]; {
 	case t == nil || t.heard > b.now-e.Age:
 	case e.Bad:
-		t.ejected, t.struckAt, t.strikes, t.hearsay = max(t.ejected, b.now+e.For), b.now, max(t.strikes, 1), true
+		t.ejected, t.struckAt = max(t.ejected, b.now+e.For), b.now
+		t.strikes, t.hearsay = max(t.strikes, 1), true
 	case t.hearsay:
 		t.ejected, t.strikes, t.hearsay = b.now, 0, false
 	}
