--- a/internal/rehearsal/fleet_test.go
+++ b/internal/rehearsal/fleet_test.go
@@ -254,6 +254,7 @@
 func TestABudgetHoldsAcrossProcesses(t *testing.T) {
 	for name, fault := range budgetFaults {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			s := storm(7)
 			var seen Seen
 			played := false
@@ -287,33 +288,36 @@
 		flaw    string // "": none
 		leaseMs int
 	}{{"takes-silent", 6000}, {"takes-silent", 6000}, {"keeps-rights", 1500}, {"keeps-rights", 1500}, {"", 6000}} {
-		s := storm(7)
-		// Of two, one has borrowed most of the other's part when it is cut off, and then both want all they can get.
-		from := 2.5 + float64(c.leaseMs)/1000
-		s.Agents, s.Clients.BusyPart = 2, 0.5
-		s.ForS, s.Surges = from+4, []scenario.Surge{{AtS: from, ForS: 4, Times: 6}}
-		for i := range s.Classes {
-			s.Classes[i].AimMs, s.Classes[i].DeadlineMs = 100, 200
-		}
-		command := self("agent")
-		if c.flaw != "" {
-			command = self("naive", c.flaw)
-		}
-		var seen Seen
-		playFleet(t, s, budgeted(c.leaseMs), Options{Command: command,
-			During: func(ctx context.Context, f *Fleet) error {
-				busy, err := borrowed(ctx, f)
-				if err != nil {
-					return err
-				}
-				return budgetFaults["cut off with what it borrowed"](ctx, f, busy)
-			},
-			After: func(ctx context.Context, f *Fleet) error { seen = f.Seen(); return nil }})
-		over, _, _ := seen.Over(stormBudget)
-		t.Logf("%q: %d retries of %d attempts, %.1f beyond the budget, %.1f allowed", c.flaw, seen.Retries, seen.Attempts, over, overshoot(s))
-		if caught := over > overshoot(s); caught != (c.flaw != "") {
-			t.Errorf("%q: %.1f beyond the budget, %.1f are allowed: caught %v", c.flaw, over, overshoot(s), caught)
-		}
+		t.Run(c.flaw, func(t *testing.T) {
+			t.Parallel()
+			s := storm(7)
+			// Of two, one has borrowed most of the other's part when it is cut off, and then both want all they can get.
+			from := 2.5 + float64(c.leaseMs)/1000
+			s.Agents, s.Clients.BusyPart = 2, 0.5
+			s.ForS, s.Surges = from+4, []scenario.Surge{{AtS: from, ForS: 4, Times: 6}}
+			for i := range s.Classes {
+				s.Classes[i].AimMs, s.Classes[i].DeadlineMs = 100, 200
+			}
+			command := self("agent")
+			if c.flaw != "" {
+				command = self("naive", c.flaw)
+			}
+			var seen Seen
+			playFleet(t, s, budgeted(c.leaseMs), Options{Command: command,
+				During: func(ctx context.Context, f *Fleet) error {
+					busy, err := borrowed(ctx, f)
+					if err != nil {
+						return err
+					}
+					return budgetFaults["cut off with what it borrowed"](ctx, f, busy)
+				},
+				After: func(ctx context.Context, f *Fleet) error { seen = f.Seen(); return nil }})
+			over, _, _ := seen.Over(stormBudget)
+			t.Logf("%q: %d retries of %d attempts, %.1f beyond the budget, %.1f allowed", c.flaw, seen.Retries, seen.Attempts, over, overshoot(s))
+			if caught := over > overshoot(s); caught != (c.flaw != "") {
+				t.Errorf("%q: %.1f beyond the budget, %.1f are allowed: caught %v", c.flaw, over, overshoot(s), caught)
+			}
+		})
 	}
 }
 
@@ -458,35 +462,38 @@
 // judge by the bounds do not.
 func TestBelievingOneAgentIsCaught(t *testing.T) {
 	for _, flaw := range []string{"believes-one", "believes-one", ""} {
-		s := calm()
-		s.Agents, s.Servers, s.PodSize, s.ForS, s.Rate = 6, 6, 3, 10, 24
-		s.Clients.Skew, s.Clients.Retries, s.Server.ErrorRate = 0, 0, 0.35
-		for i := range s.Classes {
-			s.Classes[i].WorkMs, s.Classes[i].Effect = 2, scenario.Safe
-		}
-		s.Peers = quick()
-		s.Peers.Witnesses, s.Peers.FadeS = 3, 6
-		if err := s.Check(); err != nil {
-			t.Fatal(err)
-		}
-		command := self("agent")
-		if flaw != "" {
-			command = self("naive", flaw)
-		}
-		res, err := PlayFleet(context.Background(), Options{Plan: scenario.MakePlan(s), Command: command})
-		if err != nil {
-			t.Fatal(err)
-		}
-		var rules []string
-		for _, b := range res.Broken {
-			if !slices.Contains(rules, b.Rule) {
-				rules = append(rules, b.Rule)
+		t.Run(flaw, func(t *testing.T) {
+			t.Parallel()
+			s := calm()
+			s.Agents, s.Servers, s.PodSize, s.ForS, s.Rate = 6, 6, 3, 10, 24
+			s.Clients.Skew, s.Clients.Retries, s.Server.ErrorRate = 0, 0, 0.35
+			for i := range s.Classes {
+				s.Classes[i].WorkMs, s.Classes[i].Effect = 2, scenario.Safe
 			}
-		}
-		if want := flaw != ""; slices.Equal(rules, []string{RuleJudgement}) != want || !want && len(rules) > 0 {
-			t.Errorf("%q: broke %v", flaw, res.Broken)
-		}
-		t.Logf("%q: %s", flaw, res.Line())
+			s.Peers = quick()
+			s.Peers.Witnesses, s.Peers.FadeS = 3, 6
+			if err := s.Check(); err != nil {
+				t.Fatal(err)
+			}
+			command := self("agent")
+			if flaw != "" {
+				command = self("naive", flaw)
+			}
+			res, err := PlayFleet(context.Background(), Options{Plan: scenario.MakePlan(s), Command: command})
+			if err != nil {
+				t.Fatal(err)
+			}
+			var rules []string
+			for _, b := range res.Broken {
+				if !slices.Contains(rules, b.Rule) {
+					rules = append(rules, b.Rule)
+				}
+			}
+			if want := flaw != ""; slices.Equal(rules, []string{RuleJudgement}) != want || !want && len(rules) > 0 {
+				t.Errorf("%q: broke %v", flaw, res.Broken)
+			}
+			t.Logf("%q: %s", flaw, res.Line())
+		})
 	}
 }
 
--- a/saltmast.go
+++ b/saltmast.go
@@ -171,7 +171,6 @@
 			}
 		case Hearsay:
 			b.onHearsay(e)
-			b.measure()
 		case StreamStarted:
 			if r := b.requests[e.Request]; r != nil && !r.ended {
 				r.stream = true
@@ -896,8 +895,8 @@
 	t.ejected = b.now + time.Duration(math.Exp2(t.strikes-1)*(0.75+0.5*b.rng.Float64())*float64(c.Aim))
 }
 
-// onHearsay takes others' word on a backend for a first strike, or takes that back; an answer of its own since
-// then counts for more. Guards against quiet agents that each lose requests to one that is known to be silent.
+// onHearsay takes others' word on a backend for a first strike, or takes that back; its own answer since
+// counts for more. Guards against quiet agents that each lose requests to one known to be silent.
 func (b *Balancer) onHearsay(e Hearsay) {
 	switch t := b.byID[e.Backend]; {
 	case t == nil || t.heard > b.now-e.Age:
