--- a/internal/standin/between/between_test.go
+++ b/internal/standin/between/between_test.go
@@ -210,7 +210,14 @@
 func TestAnAgentThatIsDownRefuses(t *testing.T) {
 	n, p := three(t)
 	p[1].tcp.Close()
-	if _, err := p[0].dial(p[1]).Read(make([]byte, 1)); err == nil {
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(p[0].host)}}
+	c, err := d.Dial("tcp", p[1].adv)
+	if err != nil {
+		return // so quickly
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	if _, err := c.Read(make([]byte, 1)); err == nil {
 		t.Error("something came")
 	}
 	_ = n
