--- /dev/null
+++ b/internal/manifest/chart.go
@@ -0,0 +1,294 @@
+package manifest
+
+import (
+	"cmp"
+	"encoding/json"
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// RouteKind tells how often a request may run.
+type RouteKind uint8
+
+// The kinds of routes.
+const (
+	Idempotent   RouteKind = iota // more than once
+	Mutating                      // at most once for each try
+	Deduplicated                  // once for each operation key
+	Egress                        // more than once, with large answers
+)
+
+var routeKinds = [...]string{Idempotent: "idempotent", Mutating: "mutating", Deduplicated: "deduplicated", Egress: "egress"}
+
+func (rk RouteKind) String() string { return routeKinds[rk] }
+
+// Repeatable reports whether one try may run more than once.
+func (rk RouteKind) Repeatable() bool { return rk == Idempotent || rk == Egress }
+
+// Route is the reading of a route.
+type Route struct {
+	Name        string
+	Host        string // in lower case
+	Prefix      string // starts with a slash
+	Kind        RouteKind
+	Deadline    time.Duration // the longest that a request is held, over 0
+	Target      time.Duration // an answer within that is worth most; Deadline if not told
+	Priority    int           // 0 is the highest
+	Split       []Share       // at least one; the weights add up to more than 0
+	MaxAttempts int           // backends that one try may be sent to, at least 1
+}
+
+// Share is the part of a route's requests that one service gets: its weight out of the sum of all.
+type Share struct {
+	Service string
+	Weight  int // 0 or more
+}
+
+// Service is the reading of a service.
+type Service struct {
+	Name            string
+	HealthPath      string // "/health" if not told
+	ConnectionLimit int    // that one backend takes from all callers; 0: not told
+	Protocol        string // "h1" if not told
+	TLS             bool
+	SelfDedup       bool
+}
+
+// ClientLimits is the reading of the limits: what a client may send, and how long it may take.
+type ClientLimits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// DefaultLimits hold where the limits are not told.
+func DefaultLimits() ClientLimits {
+	return ClientLimits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+}
+
+// Chart is one reading of a Set. Nothing of it may be changed, and any number of goroutines may use it.
+type Chart struct {
+	hosts    map[string][]*Route // in lower case; the longest prefix first
+	routes   []*Route            // by name
+	services map[string]*Service
+	limits   ClientLimits
+}
+
+// Chart reads a set. It never fails, and equal sets give equal charts: an item that can't be read is left out; of routes that
+// share host and prefix the one with the highest version stays, then the one with the lowest name; a route to an unknown
+// service stays as it is.
+func (s Set) Chart() *Chart {
+	c := &Chart{hosts: map[string][]*Route{}, services: map[string]*Service{}, limits: DefaultLimits()}
+	type place struct{ host, prefix string }
+	at := map[place]*Route{}
+	for _, i := range s.standing() {
+		switch i.Key.Kind {
+		case Routes:
+			if r, err := readRoute(i); err == nil {
+				p := place{r.Host, r.Prefix}
+				if o := at[p]; o == nil || i.Version > s[Key{Kind: Routes, Name: o.Name}].Version {
+					at[p] = r
+				}
+			}
+		case Services:
+			if v, err := readService(i); err == nil {
+				c.services[v.Name] = v
+			}
+		case Limits:
+			if l, err := readLimits(i); err == nil {
+				c.limits = l
+			}
+		}
+	}
+	for p, r := range at {
+		c.routes = append(c.routes, r)
+		c.hosts[p.host] = append(c.hosts[p.host], r)
+	}
+	slices.SortFunc(c.routes, func(a, b *Route) int { return cmp.Compare(a.Name, b.Name) })
+	for _, rs := range c.hosts {
+		slices.SortFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return c
+}
+
+// Route is the route for a request: of those for its host, whatever its case and port, the one with the longest prefix that
+// begins the path. nil: there is none. It allocates nothing.
+func (c *Chart) Route(host, path string) *Route {
+	rs, ok := c.hosts[host]
+	if !ok {
+		if n := strings.LastIndexByte(host, ':'); n > strings.IndexByte(host, ']') {
+			host = host[:n]
+		}
+		var lower [255]byte // no name of a host is longer
+		if len(host) > len(lower) {
+			return nil
+		}
+		for n := range len(host) {
+			b := host[n]
+			if 'A' <= b && b <= 'Z' {
+				b += 'a' - 'A'
+			}
+			lower[n] = b
+		}
+		rs = c.hosts[string(lower[:len(host)])]
+	}
+	for _, r := range rs {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service is the service of that name; nil: there is none.
+func (c *Chart) Service(name string) *Service { return c.services[name] }
+
+// Limits hold for what clients send.
+func (c *Chart) Limits() ClientLimits { return c.limits }
+
+// Routes are all routes by name. The slice belongs to the chart.
+func (c *Chart) Routes() []*Route { return c.routes }
+
+// The readings below tell of an item alone whether it is valid: they hold as much as the schema, and what spans several of
+// its fields.
+
+func read(i Item, into any) error {
+	if err := json.Unmarshal(i.Spec, into); err != nil {
+		return invalid(i.Key.String(), "%s", err)
+	}
+	return nil
+}
+
+func readRoute(i Item) (*Route, error) {
+	var f struct {
+		Host        string
+		Prefix      string   `json:"path-prefix"`
+		Kind        string   `json:"route-kind"`
+		Deadline    float64  `json:"deadline-s"`
+		Target      *float64 `json:"target-s"`
+		Priority    float64
+		MaxAttempts *float64 `json:"max-attempts"`
+		Service     string
+		Split       []struct {
+			Service string
+			Weight  float64
+		}
+	}
+	if err := read(i, &f); err != nil {
+		return nil, err
+	}
+	if f.Target == nil {
+		f.Target = &f.Deadline
+	}
+	if f.MaxAttempts == nil {
+		f.MaxAttempts = new(float64)
+	}
+	where := i.Key.String()
+	kind := slices.Index(routeKinds[:], f.Kind)
+	switch {
+	case f.Host == "":
+		return nil, invalid(where, "no host")
+	case !strings.HasPrefix(f.Prefix, "/"):
+		return nil, invalid(where, "path-prefix %s does not start with a slash", quoted(f.Prefix))
+	case kind < 0:
+		return nil, invalid(where, "%s is no route-kind", quoted(f.Kind))
+	case !(f.Deadline > 0 && f.Deadline <= most):
+		return nil, invalid(where, "deadline-s %v is not over 0", f.Deadline)
+	case !(*f.Target >= 0 && *f.Target <= most):
+		return nil, invalid(where, "target-s %v is not 0 or more", *f.Target)
+	case !whole(f.Priority, most):
+		return nil, invalid(where, "priority %v is no whole number, 0 or more", f.Priority)
+	case !whole(*f.MaxAttempts, most):
+		return nil, invalid(where, "max-attempts %v is no whole number, 0 or more", *f.MaxAttempts)
+	}
+	r := &Route{
+		Name: i.Key.Name, Host: strings.ToLower(f.Host), Prefix: f.Prefix, Kind: RouteKind(kind), Deadline: seconds(f.Deadline), Target: seconds(*f.Target),
+		Priority: int(f.Priority), MaxAttempts: max(1, int(*f.MaxAttempts)),
+	}
+	if len(f.Split) == 0 {
+		if f.Service == "" {
+			return nil, invalid(where, "neither service nor split")
+		}
+		r.Split = []Share{{Service: f.Service, Weight: 1}}
+		return r, nil
+	}
+	unit, sum := 1.0, 0
+	for _, s := range f.Split {
+		switch {
+		case s.Service == "":
+			return nil, invalid(where, "a share without a service")
+		case !(s.Weight >= 0 && s.Weight <= most):
+			return nil, invalid(where, "weight %v of %s is not 0 or more", s.Weight, quoted(s.Service))
+		case s.Weight != math.Trunc(s.Weight):
+			unit = 1e4 // weights are whole here: fractions are taken to four digits
+		}
+	}
+	for _, s := range f.Split {
+		w := int(math.Round(s.Weight * unit))
+		r.Split = append(r.Split, Share{Service: s.Service, Weight: w})
+		sum += w
+	}
+	if sum == 0 {
+		return nil, invalid(where, "the weights add up to 0")
+	}
+	return r, nil
+}
+
+func readService(i Item) (*Service, error) {
+	f := struct {
+		HealthPath      string  `json:"health-path"`
+		ConnectionLimit float64 `json:"connection-limit"`
+		Protocol        string
+		TLS             bool
+		SelfDedup       bool `json:"self-dedup"`
+	}{HealthPath: "/health", Protocol: "h1"}
+	if err := read(i, &f); err != nil {
+		return nil, err
+	}
+	where := i.Key.String()
+	switch {
+	case !strings.HasPrefix(f.HealthPath, "/"):
+		return nil, invalid(where, "health-path %s does not start with a slash", quoted(f.HealthPath))
+	case !whole(f.ConnectionLimit, 1<<30):
+		return nil, invalid(where, "connection-limit %v is no whole number, 0 or more", f.ConnectionLimit)
+	}
+	return &Service{
+		Name: i.Key.Name, HealthPath: f.HealthPath, ConnectionLimit: int(f.ConnectionLimit), Protocol: f.Protocol, TLS: f.TLS, SelfDedup: f.SelfDedup,
+	}, nil
+}
+
+func readLimits(i Item) (ClientLimits, error) {
+	d := DefaultLimits()
+	f := struct {
+		MaxHeaderBytes float64 `json:"max-header-bytes"`
+		MaxBodyBytes   float64 `json:"max-body-bytes"`
+		HeaderTimeout  float64 `json:"header-timeout-s"`
+		IdleTimeout    float64 `json:"idle-timeout-s"`
+	}{float64(d.MaxHeaderBytes), float64(d.MaxBodyBytes), d.HeaderTimeout.Seconds(), d.IdleTimeout.Seconds()}
+	if err := read(i, &f); err != nil {
+		return d, err
+	}
+	where := i.Key.String()
+	switch {
+	case !whole(f.MaxHeaderBytes, 1<<30):
+		return d, invalid(where, "max-header-bytes %v is no whole number, 0 or more", f.MaxHeaderBytes)
+	case !whole(f.MaxBodyBytes, 1<<40):
+		return d, invalid(where, "max-body-bytes %v is no whole number, 0 or more", f.MaxBodyBytes)
+	case !(f.HeaderTimeout >= 0 && f.HeaderTimeout <= most):
+		return d, invalid(where, "header-timeout-s %v is not 0 or more", f.HeaderTimeout)
+	case !(f.IdleTimeout >= 0 && f.IdleTimeout <= most):
+		return d, invalid(where, "idle-timeout-s %v is not 0 or more", f.IdleTimeout)
+	}
+	return ClientLimits{
+		MaxHeaderBytes: int(f.MaxHeaderBytes), MaxBodyBytes: int64(f.MaxBodyBytes), HeaderTimeout: seconds(f.HeaderTimeout), IdleTimeout: seconds(f.IdleTimeout),
+	}, nil
+}
+
+const most = 1e6 // seconds, and so on: what is beyond that is a mistake
+
+func seconds(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
+
+func whole(x, most float64) bool { return x >= 0 && x <= most && x == math.Trunc(x) }
--- /dev/null
+++ b/internal/manifest/manifest.go
@@ -0,0 +1,247 @@
+// Package manifest holds the operator's configuration: named items, each with a version of its own. Copies of it are joined
+// item by item, in any order, and any of them can be read as a Chart. The package is pure: it opens, starts and waits for
+// nothing.
+package manifest
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"unicode/utf8"
+)
+
+// Kind tells what an item configures.
+type Kind uint8
+
+// The kinds, in the order in which they are laid out.
+const (
+	Routes Kind = iota
+	Services
+	Limits // a single item
+)
+
+var kinds = [...]string{Routes: "routes", Services: "services", Limits: "limits"}
+
+func (k Kind) String() string {
+	if int(k) < len(kinds) {
+		return kinds[k]
+	}
+	return "kind " + strconv.Itoa(int(k))
+}
+
+// Version of an item. It goes up with each change; there may be gaps.
+type Version uint64
+
+// ParseVersion reads a version as it is written on the wire: r12.
+func ParseVersion(s string) (Version, error) {
+	if len(s) > 1 && s[0] == 'r' && s[1] != '+' {
+		if n, err := strconv.ParseUint(s[1:], 10, 64); err == nil {
+			return Version(n), nil
+		}
+	}
+	return 0, fmt.Errorf("%s is no version such as r12", quoted(s))
+}
+
+func (v Version) String() string { return "r" + strconv.FormatUint(uint64(v), 10) }
+
+// Ballot orders two contents that were sent with one version: by N, then by who gave it.
+type Ballot struct {
+	_  struct{} `cbor:",toarray"`
+	N  uint64
+	By uint32
+}
+
+// Less reports whether b comes before o.
+func (b Ballot) Less(o Ballot) bool { return b.compare(o) < 0 }
+
+// IsZero reports whether no ballot was held.
+func (b Ballot) IsZero() bool { return b == Ballot{} }
+
+func (b Ballot) compare(o Ballot) int { return cmp.Or(cmp.Compare(b.N, o.N), cmp.Compare(b.By, o.By)) }
+
+// Key names an item. The name of Limits is empty.
+type Key struct {
+	Kind Kind   `cbor:"1,keyasint"`
+	Name string `cbor:"2,keyasint,omitempty"`
+}
+
+func (k Key) String() string {
+	if k.Kind == Limits {
+		return k.Kind.String()
+	}
+	return k.Kind.String() + " " + quoted(k.Name)
+}
+
+func (k Key) compare(o Key) int {
+	return cmp.Or(cmp.Compare(k.Kind, o.Kind), cmp.Compare(k.Name, o.Name))
+}
+
+// Item is one version of what a key stands for. Its Spec is not to be changed.
+type Item struct {
+	Key     Key     `cbor:"1,keyasint"`
+	Version Version `cbor:"2,keyasint"`
+	Ballot  Ballot  `cbor:"3,keyasint"`
+	Dropped bool    `cbor:"4,keyasint,omitempty"` // a tombstone: the item is removed since that version
+	Spec    []byte  `cbor:"5,keyasint,omitempty"` // the JSON object as it was sent, without spaces; nil when dropped
+}
+
+// compare orders the contents that one key may have. What stands comes after what is dropped.
+func (i Item) compare(o Item) int {
+	c := cmp.Or(cmp.Compare(i.Version, o.Version), i.Ballot.compare(o.Ballot))
+	if c == 0 && i.Dropped != o.Dropped {
+		c = 1
+		if i.Dropped {
+			c = -1
+		}
+	}
+	return cmp.Or(c, bytes.Compare(i.Spec, o.Spec))
+}
+
+// Set is a configuration, tombstones included.
+type Set map[Key]Item
+
+// Join takes an item if it is higher than the one that the set holds under its key, and reports whether it did. Items are
+// ordered by version, then ballot, then content, so that sets which were joined with the same items are equal.
+func (s Set) Join(i Item) bool {
+	if have, ok := s[i.Key]; ok && i.compare(have) <= 0 {
+		return false
+	}
+	s[i.Key] = i
+	return true
+}
+
+// Clone is a copy that can be joined apart from s.
+func (s Set) Clone() Set { return maps.Clone(s) }
+
+// standing is the items that are not dropped, by kind and name.
+func (s Set) standing() []Item {
+	items := make([]Item, 0, len(s))
+	for _, i := range s {
+		if !i.Dropped {
+			items = append(items, i)
+		}
+	}
+	slices.SortFunc(items, func(a, b Item) int { return a.Key.compare(b.Key) })
+	return items
+}
+
+// Encode lays out all items that stand as a JSON object with one list, in the order of kinds and names.
+func (s Set) Encode() []byte {
+	out := []byte(`{"resources":[`)
+	for n, i := range s.standing() {
+		if n > 0 {
+			out = append(out, ',')
+		}
+		out = append(append(append(out, `{"resource-kind":"`...), i.Key.Kind.String()...), `","metadata":{`...)
+		if i.Key.Kind != Limits {
+			out = append(append(append(out, `"name":`...), text(i.Key.Name)...), ',')
+		}
+		out = append(append(append(out, `"version":"`...), i.Version.String()...), `"},"specification":`...)
+		out = append(append(out, i.Spec...), '}')
+	}
+	return append(out, "]}"...)
+}
+
+// text is s as JSON, with < and the like as they are.
+func text(s string) []byte {
+	var b bytes.Buffer
+	e := json.NewEncoder(&b)
+	e.SetEscapeHTML(false)
+	e.Encode(s) // a string never fails
+	return bytes.TrimSuffix(b.Bytes(), []byte("\n"))
+}
+
+// Invalid is why a configuration can't be taken, in one line.
+type Invalid struct{ Where, Why string }
+
+func (e *Invalid) Error() string { return e.Where + ": " + e.Why }
+
+func invalid(where, format string, args ...any) error {
+	return &Invalid{Where: where, Why: fmt.Sprintf(format, args...)}
+}
+
+// quoted is s for a line of an error, cut to about 40 bytes.
+func quoted(s string) string {
+	if len(s) > 40 {
+		s = s[:37] + "..."
+	}
+	return strconv.Quote(s)
+}
+
+// Call is what one call of the operator asks for: items to set and tombstones, one for each key, with ballots of zero.
+type Call struct{ Items []Item }
+
+// DecodeCall reads the body of a call. Items keep the order in which their names first came; of a name that comes with several
+// versions the highest counts. An error is an *Invalid. What the specifications say is not looked at, see Check.
+func DecodeCall(body []byte) (Call, error) {
+	type metadata struct{ Name, Version string }
+	var b struct {
+		Upsert struct {
+			Resources []struct {
+				Kind     string `json:"resource-kind"`
+				Metadata metadata
+				Spec     json.RawMessage `json:"specification"`
+			}
+		}
+		Remove map[string][]metadata
+	}
+	if !utf8.Valid(body) {
+		return Call{}, invalid("call", "no UTF-8 text")
+	}
+	if err := json.Unmarshal(body, &b); err != nil {
+		return Call{}, invalid("call", "%s", err)
+	}
+	if body[bytes.IndexFunc(body, func(r rune) bool { return r > ' ' })] != '{' {
+		return Call{}, invalid("call", "no JSON object")
+	}
+	var c Call
+	at := map[Key]int{}
+	add := func(kind string, m metadata, i Item) error {
+		n := slices.Index(kinds[:], kind)
+		if n < 0 {
+			return invalid("call", "%s is none of routes, services, limits", quoted(kind))
+		}
+		i.Key = Key{Kind: Kind(n), Name: m.Name}
+		if i.Key.Kind == Limits {
+			i.Key.Name = ""
+		} else if m.Name == "" {
+			return invalid(kind, "an item without a name")
+		}
+		var err error
+		if i.Version, err = ParseVersion(m.Version); err != nil {
+			return invalid(i.Key.String(), "%s", err)
+		}
+		n, again := at[i.Key]
+		switch {
+		case !again:
+			at[i.Key] = len(c.Items)
+			c.Items = append(c.Items, i)
+		case i.Version > c.Items[n].Version:
+			c.Items[n] = i
+		case i.Version == c.Items[n].Version && i.compare(c.Items[n]) != 0:
+			return invalid(i.Key.String(), "two contents at %s", i.Version)
+		}
+		return nil
+	}
+	for _, r := range b.Upsert.Resources {
+		var spec bytes.Buffer
+		if len(r.Spec) == 0 || r.Spec[0] != '{' || json.Compact(&spec, r.Spec) != nil {
+			return Call{}, invalid(Key{Kind: Kind(max(0, slices.Index(kinds[:], r.Kind))), Name: r.Metadata.Name}.String(), "its specification is no JSON object")
+		}
+		if err := add(r.Kind, r.Metadata, Item{Spec: bytes.Clone(spec.Bytes())}); err != nil {
+			return Call{}, err
+		}
+	}
+	for _, kind := range slices.Sorted(maps.Keys(b.Remove)) {
+		for _, m := range b.Remove[kind] {
+			if err := add(kind, m, Item{Dropped: true}); err != nil {
+				return Call{}, err
+			}
+		}
+	}
+	return c, nil
+}
