Hold: a small durable store with group commit on SQLite

Need: items, operation keys and the roster must outlive the loss of power on a small machine, and a disk in trouble must be an answer to the caller.

--- /dev/null
+++ b/internal/hold/lite.go
@@ -0,0 +1,256 @@
+package hold
+
+import (
+	"context"
+	"database/sql/driver"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"net/url"
+
+	sqlite3 "github.com/mattn/go-sqlite3"
+)
+
+// store is what the hold asks of its database. Tests put one between that fails.
+type store interface {
+	begin() error
+	put(p *Put) error // in force with the commit
+	commit() error
+	rollback() error
+	open() bool // a transaction is open
+	each(t Table, f func(key, value []byte) error) error
+	// checkpoint moves what the log (the -wal file) holds into the database, or only counts: frames of the log that are in
+	// force, and those of them that the database has for certain.
+	checkpoint(move bool) (frames, moved int, err error)
+	close() error // moves the log first, if it can
+}
+
+// A row of kv is a key with its value behind a CRC-32C (little-endian) of table, key and value: SQLite has no sums of its
+// own outside the log.
+const (
+	schemaVersion = 1
+	schema        = "CREATE TABLE kv(t INTEGER, k BLOB, v BLOB, PRIMARY KEY(t,k)) WITHOUT ROWID"
+	pageSize      = 4096
+	walHeader     = 32
+	walFrame      = 24 + pageSize
+	sumLen        = 4
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+func sumOf(t Table, key, value []byte) uint32 {
+	head := [5]byte{byte(t)}
+	binary.LittleEndian.PutUint32(head[1:], uint32(len(key)))
+	c := crc32.Update(0, castagnoli, head[:])
+	return crc32.Update(crc32.Update(c, castagnoli, key), castagnoli, value)
+}
+
+// damageError says that the content of the files is not what was written.
+type damageError struct{ why string }
+
+func (e *damageError) Error() string { return e.why }
+
+// lite is the store: a connection of the driver, without database/sql, which costs a lock and a few allocations per call.
+type lite struct {
+	c                                                               *sqlite3.SQLiteConn
+	sBegin, sCommit, sRollback, sPut, sDelete, sEach, sMove, sCount *sqlite3.SQLiteStmt
+	args                                                            [3]driver.NamedValue
+	tables                                                          [256]driver.Value // boxed once
+	buf                                                             []byte
+}
+
+var background = context.Background()
+
+// connect opens the file, or makes an empty one. Nothing of the schema is looked at.
+func connect(path string, maxPages int64) (*lite, error) {
+	// EXCLUSIVE before the first access to the log keeps its index on the heap: no -shm file, nothing mapped.
+	u := url.URL{Scheme: "file", Path: path, RawQuery: "_busy_timeout=0&_mutex=no&_locking_mode=EXCLUSIVE&_synchronous=FULL"}
+	conn, err := (&sqlite3.SQLiteDriver{}).Open(u.String())
+	if err != nil {
+		return nil, err
+	}
+	l := &lite{c: conn.(*sqlite3.SQLiteConn)}
+	for _, q := range []string{
+		fmt.Sprintf("PRAGMA page_size=%d", pageSize),
+		"PRAGMA temp_store=MEMORY", "PRAGMA mmap_size=0", "PRAGMA cache_size=-1024", "PRAGMA cell_size_check=ON",
+		"PRAGMA wal_autocheckpoint=0", fmt.Sprintf("PRAGMA max_page_count=%d", maxPages),
+	} {
+		if _, err := l.c.Exec(q, nil); err != nil {
+			l.close()
+			return nil, err
+		}
+	}
+	mode, err := l.ask("PRAGMA journal_mode=WAL")
+	if err == nil && mode[0] != "wal" {
+		err = fmt.Errorf("the journal's mode is %v, not wal", mode[0])
+	}
+	if err != nil {
+		l.close()
+		return nil, err
+	}
+	return l, nil
+}
+
+// prepare keeps the statements, once the schema is there.
+func (l *lite) prepare() error {
+	for _, p := range []struct {
+		to  **sqlite3.SQLiteStmt
+		sql string
+	}{
+		{&l.sBegin, "BEGIN IMMEDIATE"}, {&l.sCommit, "COMMIT"}, {&l.sRollback, "ROLLBACK"},
+		{&l.sPut, "INSERT OR REPLACE INTO kv(t,k,v) VALUES(?,?,?)"}, {&l.sDelete, "DELETE FROM kv WHERE t=? AND k=?"},
+		{&l.sEach, "SELECT k,v FROM kv WHERE t=? ORDER BY k"},
+		{&l.sMove, "PRAGMA wal_checkpoint(PASSIVE)"}, {&l.sCount, "PRAGMA wal_checkpoint(NOOP)"},
+	} {
+		s, err := l.c.Prepare(p.sql)
+		if err != nil {
+			return err
+		}
+		*p.to = s.(*sqlite3.SQLiteStmt)
+	}
+	for i := range l.tables {
+		l.tables[i] = int64(i)
+	}
+	for i := range l.args {
+		l.args[i].Ordinal = i + 1
+	}
+	return nil
+}
+
+func run(s *sqlite3.SQLiteStmt, args []driver.NamedValue) error {
+	_, err := s.ExecContext(background, args)
+	return err
+}
+
+func (l *lite) begin() error    { return run(l.sBegin, nil) }
+func (l *lite) commit() error   { return run(l.sCommit, nil) }
+func (l *lite) rollback() error { return run(l.sRollback, nil) }
+func (l *lite) open() bool      { return !l.c.AutoCommit() }
+
+var noKey = []byte{}
+
+func (l *lite) put(p *Put) error {
+	key := p.Key
+	if key == nil {
+		key = noKey // nil would be NULL
+	}
+	l.args[0].Value, l.args[1].Value = l.tables[p.Table], key
+	if p.Value == nil {
+		return run(l.sDelete, l.args[:2])
+	}
+	l.buf = binary.LittleEndian.AppendUint32(l.buf[:0], sumOf(p.Table, key, p.Value))
+	l.buf = append(l.buf, p.Value...)
+	l.args[2].Value = l.buf
+	return run(l.sPut, l.args[:])
+}
+
+func (l *lite) each(t Table, f func(key, value []byte) error) error {
+	l.args[0].Value = l.tables[t]
+	rows, err := l.sEach.QueryContext(background, l.args[:1])
+	if err != nil {
+		return err
+	}
+	defer rows.Close()
+	var row [2]driver.Value
+	for {
+		switch err := rows.Next(row[:]); {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
+		}
+		key, value, err := unseal(t, row[0], row[1])
+		if err != nil {
+			return err
+		}
+		if err := f(key, value); err != nil {
+			return err
+		}
+	}
+}
+
+// unseal is a row's key and value as they were put.
+func unseal(t Table, k, v driver.Value) (key, value []byte, err error) {
+	key, ok := k.([]byte)
+	sealed, ok2 := v.([]byte)
+	if !ok || !ok2 || len(sealed) < sumLen || binary.LittleEndian.Uint32(sealed) != sumOf(t, key, sealed[sumLen:]) {
+		return nil, nil, &damageError{fmt.Sprintf("table %d: the sum of a row is wrong", t)}
+	}
+	return key, sealed[sumLen:len(sealed):len(sealed)], nil
+}
+
+// checkAll looks at the structure of the file and at the sum of each row.
+func (l *lite) checkAll() error {
+	found, err := l.ask("PRAGMA quick_check(1)")
+	if err != nil {
+		return err
+	}
+	if s, _ := found[0].(string); s != "ok" {
+		return &damageError{fmt.Sprint("quick_check: ", found[0])}
+	}
+	rows, err := l.c.Query("SELECT t,k,v FROM kv", nil)
+	if err != nil {
+		return err
+	}
+	defer rows.Close()
+	var row [3]driver.Value
+	for {
+		switch err := rows.Next(row[:]); {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
+		}
+		t, ok := row[0].(int64)
+		if !ok || t < 0 || t > 255 {
+			return &damageError{fmt.Sprintf("a row of table %v", row[0])}
+		}
+		if _, _, err := unseal(Table(t), row[1], row[2]); err != nil {
+			return err
+		}
+	}
+}
+
+// ask is the first row of a query's answer.
+func (l *lite) ask(query string) ([]driver.Value, error) {
+	rows, err := l.c.Query(query, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer rows.Close()
+	row := make([]driver.Value, len(rows.Columns()))
+	if err := rows.Next(row); err != nil {
+		return nil, err
+	}
+	return row, nil
+}
+
+func (l *lite) checkpoint(move bool) (frames, moved int, err error) {
+	s := l.sCount
+	if move {
+		s = l.sMove
+	}
+	rows, err := s.QueryContext(background, nil)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer rows.Close()
+	var row [3]driver.Value
+	if err := rows.Next(row[:]); err != nil {
+		return 0, 0, err
+	}
+	a, _ := row[1].(int64)
+	b, _ := row[2].(int64)
+	return int(max(a, 0)), int(max(b, 0)), nil
+}
+
+func (l *lite) close() error {
+	for _, s := range []*sqlite3.SQLiteStmt{l.sBegin, l.sCommit, l.sRollback, l.sPut, l.sDelete, l.sEach, l.sMove, l.sCount} {
+		if s != nil {
+			s.Close()
+		}
+	}
+	return l.c.Close()
+}
