--- a/internal/articles/articles.cue
+++ b/internal/articles/articles.cue
@@ -7,14 +7,14 @@
 "node-name"!:     #Text                     @want("the name of the machine")
 role!:            #Text                     @want("the name of a role")
 "machine-class"!: #Text                     @want("a class of machines")
-serves?:          [...#Text]                @want("a list of names")
+serves?:          [...#Text]                @want("names in a list")
 ip!:              #IP                       @want("an IPv4 address")
 zone!:            #Text                     @want("the name of a zone")
 region?:          string                    @want("the name of a region")
 zones?: {[string]: string}                  @want("regions by zone")
 "listen-addrs"?: {[string]: #Addr}          @want("addresses such as 10.0.0.1:8080 by name")
 "ephemeral-ports"!: [#Port, #Port]          @want("the first and the last port, from 1 to 65535")
-"seed-nodes"?:    [...#Addr]                @want("a list of addresses such as 10.0.0.1:8080")
+"seed-nodes"?:    [...#Addr]                @want("addresses such as 10.0.0.1:8080 in a list")
 bootstrap?:       bool                      @want("true or false")
 "quorum-member"?: bool                      @want("true or false")
 limits?: {
@@ -25,17 +25,17 @@
 	"bandwidth-mbps"?:   number & >=0                 @want("megabits a second, 0 or more")
 	"disk-mb"?:          number & >=0                 @want("megabytes, 0 or more")
 	...
-} @want("a group of limits")
+} @want("limits by name")
 "data-directory"?: null | string            @want("a folder or null")
 "heartbeat-s"?:   number & >0 & <=1000000   @want("seconds over 0")
-contracts?:       [...string]               @want("a list of names")
+contracts?:       [...string]               @want("names in a list")
 "fault-tolerance"?: {
 	"machine-losses"?: int & >=0 & <=1000000 @want("a whole number, 0 or more")
 	zones?:            int & >=0 & <=1000000 @want("a whole number, 0 or more")
 	"region-losses"?:  int & >=0 & <=1000000 @want("a whole number, 0 or more")
 	...
-} @want("a group of numbers")
-bounds?: string | [...string]               @want("a list of name=value texts, or one line of them")
+} @want("numbers by name")
+bounds?: string | [...string]               @want("name=value texts in a list or on one line")
 "app-addr"?: null | #Addr                   @want("an address such as 10.0.0.1:8080")
 service?:    null | string                  @want("the name of a service")
 ...
--- a/internal/manifest/chart.go
+++ b/internal/manifest/chart.go
@@ -157,7 +157,7 @@
 
 func read(i Item, into any) error {
 	if err := json.Unmarshal(i.Spec, into); err != nil {
-		return invalid(i.Key.String(), "%s", err)
+		return invalid(i.Key.String(), "%s", plain(err))
 	}
 	return nil
 }
--- a/internal/manifest/check.go
+++ b/internal/manifest/check.go
@@ -11,41 +11,50 @@
 //go:embed manifest.cue
 var schema string
 
-// Check tells whether each item of the call is valid by itself: first what it means, then its types against the schema in CUE.
-// What spans several items is for the Check of a set that the call was joined to. An error is an *Invalid.
+// Check tells whether each item of the call is valid by itself: first its types and bounds, by the schema in CUE, then what
+// spans several fields. What spans several items is for the Check of a set that the call was joined to. An error is an
+// *Invalid.
 func (c Call) Check() error {
-	items := slices.Clone(c.Items)
-	slices.SortFunc(items, func(a, b Item) int { return a.Key.compare(b.Key) })
-	doc := []byte{'{'}
-	last := -1
-	for _, i := range items {
+	if err := c.survey(); err != nil {
+		return err
+	}
+	for _, i := range c.Items {
 		if i.Dropped {
 			continue
 		}
 		if err := checkItem(i); err != nil {
 			return err
 		}
+	}
+	return nil
+}
+
+// survey holds the items against the schema in one go: most of its cost is the schema's own.
+func (c Call) survey() error {
+	items := slices.DeleteFunc(slices.Clone(c.Items), func(i Item) bool { return i.Dropped })
+	slices.SortFunc(items, func(a, b Item) int { return a.Key.compare(b.Key) })
+	doc := []byte{'{'}
+	for n, i := range items {
 		switch {
-		case last < 0:
+		case n == 0:
 			doc = append(append(append(doc, '"'), i.Key.Kind.String()...), `":{`...)
-		case last != int(i.Key.Kind):
+		case items[n-1].Key.Kind != i.Key.Kind:
 			doc = append(append(append(doc, `},"`...), i.Key.Kind.String()...), `":{`...)
 		default:
 			doc = append(doc, ',')
 		}
-		last = int(i.Key.Kind)
 		doc = append(append(append(doc, text(i.Key.Name)...), ':'), i.Spec...)
 	}
-	if last < 0 {
+	if len(items) == 0 {
 		return nil
 	}
 	err := survey.JSON(schema, append(doc, "}}"...), nil)
-	var f *survey.Fault
-	if !errors.As(err, &f) {
-		return err
+	if err == nil {
+		return nil
 	}
-	e := &Invalid{Where: "call", Why: (&survey.Fault{Want: f.Want, Got: f.Got}).Error()}
-	if len(f.Path) >= 2 {
+	e := &Invalid{Where: "call", Why: err.Error()}
+	var f *survey.Fault
+	if errors.As(err, &f) && len(f.Path) >= 2 {
 		e.Where = Key{Kind: Kind(max(0, slices.Index(kinds[:], f.Path[0]))), Name: f.Path[1]}.String()
 		e.Why = (&survey.Fault{Path: f.Path[2:], Want: f.Want, Got: f.Got}).Error()
 	}
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -7,10 +7,12 @@
 	"bytes"
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"unicode/utf8"
 )
 
@@ -193,7 +195,7 @@
 		return Call{}, invalid("call", "no UTF-8 text")
 	}
 	if err := json.Unmarshal(body, &b); err != nil {
-		return Call{}, invalid("call", "%s", err)
+		return Call{}, invalid("call", "%s", plain(err))
 	}
 	if body[bytes.IndexFunc(body, func(r rune) bool { return r > ' ' })] != '{' {
 		return Call{}, invalid("call", "no JSON object")
@@ -215,6 +217,9 @@
 		if i.Version, err = ParseVersion(m.Version); err != nil {
 			return invalid(i.Key.String(), "%s", err)
 		}
+		if !i.Dropped && i.Spec == nil {
+			return invalid(i.Key.String(), "its specification is no JSON object")
+		}
 		n, again := at[i.Key]
 		switch {
 		case !again:
@@ -228,11 +233,7 @@
 		return nil
 	}
 	for _, r := range b.Upsert.Resources {
-		var spec bytes.Buffer
-		if len(r.Spec) == 0 || r.Spec[0] != '{' || json.Compact(&spec, r.Spec) != nil {
-			return Call{}, invalid(Key{Kind: Kind(max(0, slices.Index(kinds[:], r.Kind))), Name: r.Metadata.Name}.String(), "its specification is no JSON object")
-		}
-		if err := add(r.Kind, r.Metadata, Item{Spec: bytes.Clone(spec.Bytes())}); err != nil {
+		if err := add(r.Kind, r.Metadata, Item{Spec: compact(r.Spec)}); err != nil {
 			return Call{}, err
 		}
 	}
@@ -245,3 +246,21 @@
 	}
 	return c, nil
 }
+
+// plain tells of a reading that failed in words of the data.
+func plain(err error) string {
+	var t *json.UnmarshalTypeError
+	if errors.As(err, &t) {
+		return strings.TrimPrefix(fmt.Sprintf("%s: can't read the %.40s there", strings.ToLower(t.Field), t.Value), ": ")
+	}
+	return err.Error()
+}
+
+// compact is an object without its spaces; nil: it is no object.
+func compact(raw []byte) []byte {
+	var b bytes.Buffer
+	if len(raw) == 0 || raw[0] != '{' || json.Compact(&b, raw) != nil {
+		return nil
+	}
+	return b.Bytes()
+}
--- a/internal/survey/survey.go
+++ b/internal/survey/survey.go
@@ -20,7 +20,7 @@
 type Fault struct {
 	Path []string // keys from outside inwards; nil: the data as a whole
 	Want string   // what is expected, in words
-	Got  string   // what is there, at most about 40 bytes; empty: nothing
+	Got  string   // what is there, or why it can't be read, at most 80 bytes
 }
 
 func (f *Fault) Error() string {
@@ -55,7 +55,10 @@
 
 func unread(want string, err error) error {
 	text, _, _ := strings.Cut(err.Error(), "\n")
-	return &Fault{Want: want, Got: short(text)}
+	if after, ok := strings.CutPrefix(text, ":"); ok { // the name of the file would come first
+		text = "line " + after
+	}
+	return &Fault{Want: want, Got: short(text, 80)}
 }
 
 func check(schema string, build func(*cue.Context) cue.Value, out any) error {
@@ -106,16 +109,18 @@
 			data = data.LookupPath(cue.MakePath(cue.Str(p)))
 		}
 	}
-	if f.Want == "" {
+	raw, notJSON := data.MarshalJSON()
+	switch {
+	case !data.Exists():
+		f.Got = "nothing"
+	case notJSON == nil:
+		f.Got = short(string(raw), 40)
+	default: // it is at odds with itself: a key that comes twice
 		format, args := first.Msg()
-		f.Want = short(fmt.Sprintf(format, args...))
+		f.Want, f.Got = "one value", short(fmt.Sprintf(format, args...), 80)
 	}
-	if data.Exists() {
-		if raw, err := data.MarshalJSON(); err == nil {
-			f.Got = short(string(raw))
-		}
-	} else {
-		f.Got = "nothing"
+	if f.Want == "" {
+		f.Want = "named fields"
 	}
 	return f
 }
@@ -127,11 +132,11 @@
 	return cue.AnyIndex
 }
 
-// short cuts a text so that a line stays a line.
-func short(s string) string {
+// short makes a line of at most n bytes of a text.
+func short(s string, n int) string {
 	s = strings.Join(strings.Fields(s), " ")
-	if len(s) > 40 {
-		s = strings.ToValidUTF8(s[:37], "") + "..."
+	if len(s) > n {
+		s = strings.ToValidUTF8(s[:n-3], "") + "..."
 	}
 	return s
 }
