--- /dev/null
+++ b/internal/codebook/codebook.go
@@ -0,0 +1,179 @@
+// Package codebook holds the messages that the mesh's programs send each other, and the places of their ports. A message may
+// gain fields; a reader ignores those that it does not know.
+package codebook
+
+import (
+	"net"
+	"strconv"
+
+	"saltmast/internal/ballot"
+	"saltmast/internal/berths"
+	"saltmast/internal/manifest"
+	"saltmast/internal/tally"
+)
+
+// Places of the programs' own ports within the free range, on every machine.
+const (
+	HarbourPort = 0 // harbourmaster, calls by signal
+	PurserPort  = 1 // purser, calls by signal
+	GatePort    = 2 // tug, requests from other tugs
+)
+
+// Beside is the address of a program's port on the machine of another address. first is the first of the free ports.
+func Beside(addr string, first, place int) string {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		host = addr
+	}
+	return net.JoinHostPort(host, strconv.Itoa(first+place))
+}
+
+// Kinds of calls.
+const (
+	Prepare uint8 = 1 + iota // to pursers: PrepareCall, ballot.Promise
+	Accept                   // AcceptCall, Accepted
+	Learn                    // LearnCall, Accepted
+	Watch                    // WatchCall, Watched
+	Claim                    // ClaimCall, tally.Grant
+	Release                  // ReleaseCall, nothing
+	Muster                   // MusterCall, Mustered: from a member that lost its disk
+	Pull                     // to harbourmasters: PullCall, News
+	Report                   // to any program: nothing, what it knows
+)
+
+// Voter is a member of those that count: where its purser is.
+type Voter struct {
+	Name string `cbor:"1,keyasint"`
+	Addr string `cbor:"2,keyasint"` // host:port of its purser
+	Zone string `cbor:"3,keyasint"`
+}
+
+// Roll is the list of those that count, of one epoch.
+type Roll struct {
+	Epoch  uint64  `cbor:"1,keyasint"`
+	Voters []Voter `cbor:"2,keyasint"`
+}
+
+// Place is the place of the voter at addr; -1: it does not count.
+func (r Roll) Place(addr string) int {
+	for i, v := range r.Voters {
+		if v.Addr == addr {
+			return i
+		}
+	}
+	return -1
+}
+
+// PrepareCall asks for the promise to take no ballot below B.
+type PrepareCall struct {
+	B     manifest.Ballot `cbor:"1,keyasint"`
+	Epoch uint64          `cbor:"2,keyasint"`
+}
+
+// AcceptCall tells the value of ballot B: changes to that of Base, or all of it where Base is zero.
+type AcceptCall struct {
+	B       manifest.Ballot `cbor:"1,keyasint"`
+	Base    manifest.Ballot `cbor:"2,keyasint"`
+	Changes []manifest.Item `cbor:"3,keyasint"`
+	Epoch   uint64          `cbor:"4,keyasint"`
+	Chosen  bool            `cbor:"5,keyasint"` // it is known to be chosen: for members that missed it
+}
+
+// Accepted answers an AcceptCall or a LearnCall.
+type Accepted struct {
+	Vouch    ballot.Vouch    `cbor:"1,keyasint"`
+	Taken    bool            `cbor:"2,keyasint"`
+	Promised manifest.Ballot `cbor:"3,keyasint"`
+	Accepted manifest.Ballot `cbor:"4,keyasint"` // where it was not taken: what stands there
+}
+
+// LearnCall tells that the value of ballot B was chosen.
+type LearnCall struct {
+	B manifest.Ballot `cbor:"1,keyasint"`
+}
+
+// WatchCall asks a purser for what was chosen after Have; the answer waits up to HoldMs for news.
+type WatchCall struct {
+	Have   manifest.Ballot `cbor:"1,keyasint"`
+	HoldMs uint32          `cbor:"2,keyasint"`
+	Epoch  uint64          `cbor:"3,keyasint"` // of the roll that the caller has
+}
+
+// Watched is a purser's state as far as the caller lacks it.
+type Watched struct {
+	Vouch    ballot.Vouch    `cbor:"1,keyasint"` // By is -1 where it does not count
+	Promised manifest.Ballot `cbor:"2,keyasint"`
+	Accepted manifest.Ballot `cbor:"3,keyasint"`
+	Chosen   manifest.Ballot `cbor:"4,keyasint"`
+	Items    []manifest.Item `cbor:"5,keyasint"` // of the chosen value, that changed after Have
+	Roll     Roll            `cbor:"6,keyasint"`
+	State    string          `cbor:"7,keyasint"` // serving, repairing, without disk, apart
+	Keys     int             `cbor:"8,keyasint"`
+}
+
+// ClaimCall claims a key.
+type ClaimCall struct {
+	Key   string   `cbor:"1,keyasint"`
+	ID    tally.ID `cbor:"2,keyasint"`
+	Epoch uint64   `cbor:"3,keyasint"`
+}
+
+// ReleaseCall gives a claim back that surely did not run and never will.
+type ReleaseCall struct {
+	Key string   `cbor:"1,keyasint"`
+	ID  tally.ID `cbor:"2,keyasint"`
+}
+
+// MusterCall comes from a member that lost its disk. Step 1 asks under which incarnation it is known; step 2 tells its new
+// one, which is on disk before the answer, and asks for all that is held, from a key on.
+type MusterCall struct {
+	Addr string `cbor:"1,keyasint"` // its own, as in the roll
+	Inc  uint64 `cbor:"2,keyasint"` // 0: step 1
+	From string `cbor:"3,keyasint"` // claims of keys after this one
+}
+
+// Mustered answers a MusterCall.
+type Mustered struct {
+	Vouch    ballot.Vouch    `cbor:"1,keyasint"`
+	Promised manifest.Ballot `cbor:"2,keyasint"`
+	Accepted manifest.Ballot `cbor:"3,keyasint"`
+	Chosen   manifest.Ballot `cbor:"4,keyasint"`
+	Items    []manifest.Item `cbor:"5,keyasint"` // the accepted value
+	Claims   []ClaimCall     `cbor:"6,keyasint"`
+	More     bool            `cbor:"7,keyasint"`
+	Roll     Roll            `cbor:"8,keyasint"`
+}
+
+// Master is a harbourmaster.
+type Master struct {
+	Name string `cbor:"1,keyasint"`
+	Addr string `cbor:"2,keyasint"` // host:port of its calls by signal
+	Zone string `cbor:"3,keyasint"`
+}
+
+// PullCall asks a harbourmaster for news, and tells it what the caller is the source of.
+type PullCall struct {
+	Self   *berths.Berth   `cbor:"1,keyasint,omitempty"` // of a tug
+	Master *Master         `cbor:"2,keyasint,omitempty"` // of a harbourmaster
+	Life   uint64          `cbor:"3,keyasint"`           // the harbourmaster's life that At is of; 0: none
+	At     uint64          `cbor:"4,keyasint"`           // its last change that the caller has
+	Have   manifest.Ballot `cbor:"5,keyasint"`           // of the configuration
+	Epoch  uint64          `cbor:"6,keyasint"`           // of the roll
+	Count  int             `cbor:"7,keyasint"`           // harbourmasters that the caller knows
+	HoldMs uint32          `cbor:"8,keyasint"`
+}
+
+// Never is the FreshMs of a harbourmaster that has not heard a majority yet.
+const Never = 1 << 30
+
+// News is what a harbourmaster tells.
+type News struct {
+	Life    uint64          `cbor:"1,keyasint"`
+	At      uint64          `cbor:"2,keyasint"`
+	Berths  []berths.Berth  `cbor:"3,keyasint"`
+	Chosen  manifest.Ballot `cbor:"4,keyasint"`
+	Items   []manifest.Item `cbor:"5,keyasint"`
+	Roll    *Roll           `cbor:"6,keyasint,omitempty"`
+	Masters []Master        `cbor:"7,keyasint,omitempty"`
+	FreshMs uint32          `cbor:"8,keyasint"` // since it heard a majority of those that count
+}
--- /dev/null
+++ b/internal/purser/purser.go
@@ -0,0 +1,604 @@
+// Package purser is the store of the mesh: it keeps what must not be lost, the operator's configuration, the claims of
+// operation keys and the roll of those that count, each on disk before it is told. One goroutine owns it all and works
+// through a queue of commands; the disk has one of its own. Start reading at Start.
+package purser
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"saltmast/internal/ballot"
+	"saltmast/internal/codebook"
+	"saltmast/internal/hold"
+	"saltmast/internal/manifest"
+	"saltmast/internal/plight"
+	"saltmast/internal/signal"
+	"saltmast/internal/tally"
+)
+
+// Tables on disk.
+const (
+	tableMeta   hold.Table = 1
+	tableItems  hold.Table = 2
+	tableClaims hold.Table = 3
+)
+
+// State of a purser.
+type State string
+
+// The states.
+const (
+	Serving   State = "serving"
+	Apart     State = "apart"     // it does not count
+	Repairing State = "repairing" // it counts, and its disk was lost
+	NoDisk    State = "no disk"   // the disk can't be opened
+	NoRoll    State = "no roll"   // it does not know yet who counts
+)
+
+// Options are what a purser is started with.
+type Options struct {
+	Addr      string // host:port it is called at
+	Dir       string // of its disk
+	Zone      string
+	Bootstrap bool             // the very first start: Found counts from now on
+	Found     []codebook.Voter // who counts at the very first start
+	Seeds     func() []string  // where other pursers may be
+	Window    time.Duration    // keys are kept for so long at least
+	MaxBytes  int64            // on disk
+	Log       func(event, text string)
+}
+
+// Counts of what a purser did.
+type Counts struct {
+	Claims, Denied, Released, Refused, Accepts, Prepares, Watches, Muster atomic.Int64
+}
+
+// Purser is one member's store.
+type Purser struct {
+	o      Options
+	own    *signal.Owner[books]
+	server *signal.Server
+	Counts Counts
+	ended  chan struct{}
+}
+
+// books are the tables.
+type books struct {
+	p         *Purser
+	begun     time.Time
+	state     State
+	disk      *hold.Hold
+	acc       *ballot.Acceptor
+	ledger    *tally.Ledger
+	roll      codebook.Roll
+	me        int      // place in the roll; -1: none
+	incs      []uint64 // by place
+	accepting bool     // a value is on its way to disk
+	queued    []func(*books)
+	watchers  []*watcher
+	mustering bool
+}
+
+type watcher struct {
+	c    signal.Call
+	w    codebook.WatchCall
+	done bool
+}
+
+// Start begins to serve at o.Addr.
+func Start(o Options) (*Purser, error) {
+	l, err := signal.Listen(o.Addr)
+	if err != nil {
+		return nil, err
+	}
+	return StartOn(o, l), nil
+}
+
+// StartOn is Start on a listener that is open.
+func StartOn(o Options, l net.Listener) *Purser {
+	p := &Purser{o: o, ended: make(chan struct{})}
+	b := &books{p: p, begun: time.Now(), state: NoDisk, me: -1}
+	b.clear()
+	p.own = signal.Own(b, 1024)
+	p.server = signal.Serve(l, p.handle)
+	p.own.Send((*books).open)
+	go p.tick()
+	return p
+}
+
+// Close ends it; what is queued for the disk is waited for.
+func (p *Purser) Close() error {
+	close(p.ended)
+	p.server.Close()
+	var disk *hold.Hold
+	p.own.Ask(func(b *books) { disk = b.disk })
+	p.own.End()
+	if disk != nil {
+		return disk.Close()
+	}
+	return nil
+}
+
+// Status is for the log and the console.
+type Status struct {
+	State  State
+	Keys   int
+	Chosen manifest.Ballot
+	Roll   codebook.Roll
+	Stall  time.Duration
+}
+
+// Status tells how it stands.
+func (p *Purser) Status() (s Status) {
+	p.own.Ask(func(b *books) {
+		s = Status{State: b.state, Keys: b.ledger.Len(), Chosen: b.acc.Chosen, Roll: b.roll}
+		if b.disk != nil {
+			s.Stall = b.disk.Stalled()
+		}
+	})
+	return s
+}
+
+const tickTime = 250 * time.Millisecond
+
+func (p *Purser) tick() {
+	t := time.NewTicker(tickTime)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			p.own.Send((*books).tick)
+		case <-p.ended:
+			return
+		}
+	}
+}
+
+func (b *books) now() time.Duration { return time.Since(b.begun) }
+
+func (b *books) clear() {
+	b.acc, b.ledger = ballot.NewAcceptor(), tally.NewLedger(b.p.o.Window)
+}
+
+func (b *books) set(s State) {
+	if s != b.state {
+		b.p.o.Log("state", fmt.Sprintf("%s -> %s", b.state, s))
+		b.state = s
+	}
+}
+
+// open opens the disk and reads all that is there.
+func (b *books) open() {
+	disk, found, err := hold.Open(hold.Options{Dir: b.p.o.Dir, MaxBytes: b.p.o.MaxBytes,
+		Log: func(s string) { b.p.o.Log("disk", s) }})
+	if err != nil {
+		b.p.o.Log("disk", err.Error())
+		return
+	}
+	b.p.o.Log("disk", "found "+found.String())
+	b.clear()
+	b.disk = disk
+	if err := b.read(); err != nil {
+		b.p.o.Log("disk", "reading: "+err.Error())
+		disk.Close()
+		b.disk = nil
+		b.clear()
+		return
+	}
+	switch {
+	case b.roll.Epoch > 0:
+		b.place()
+		if b.me >= 0 && b.incs[b.me] == 0 { // it died amid a repair
+			b.set(Repairing)
+		} else if b.me >= 0 {
+			b.set(Serving)
+		} else {
+			b.set(Apart)
+		}
+	case b.p.o.Bootstrap && found == hold.Empty && len(b.p.o.Found) > 0:
+		b.found()
+	default:
+		b.set(NoRoll)
+	}
+}
+
+// found begins the very first epoch.
+func (b *books) found() {
+	b.roll = codebook.Roll{Epoch: 1, Voters: b.p.o.Found}
+	b.incs = make([]uint64, len(b.roll.Voters))
+	b.place()
+	if b.me >= 0 {
+		for i := range b.incs {
+			b.incs[i] = 1
+		}
+	}
+	b.disk.Write([]hold.Put{b.putRoll(), b.putIncs()}, func(err error) {
+		b.p.own.Send(func(b *books) {
+			switch {
+			case err != nil:
+				b.p.o.Log("disk", err.Error())
+				b.roll = codebook.Roll{}
+				b.set(NoRoll)
+			case b.me >= 0:
+				b.set(Serving)
+			default:
+				b.set(Apart)
+			}
+			b.wake()
+		})
+	})
+}
+
+func (b *books) place() {
+	b.me = b.roll.Place(b.p.o.Addr)
+	if len(b.incs) != len(b.roll.Voters) {
+		b.incs = make([]uint64, len(b.roll.Voters))
+	}
+}
+
+func (b *books) vouch() ballot.Vouch {
+	return ballot.Vouch{By: b.me, Incs: slices.Clone(b.incs)}
+}
+
+// ---- On disk ----
+
+func putBallot(name string, v manifest.Ballot) hold.Put {
+	return hold.Put{Table: tableMeta, Key: []byte(name), Value: signal.Encode(v)}
+}
+
+func (b *books) putRoll() hold.Put {
+	return hold.Put{Table: tableMeta, Key: []byte("roll"), Value: signal.Encode(b.roll)}
+}
+
+func (b *books) putIncs() hold.Put {
+	return hold.Put{Table: tableMeta, Key: []byte("incs"), Value: signal.Encode(b.incs)}
+}
+
+func itemKey(k manifest.Key) []byte { return append([]byte{byte(k.Kind)}, k.Name...) }
+
+func putItem(i manifest.Item) hold.Put {
+	return hold.Put{Table: tableItems, Key: itemKey(i.Key), Value: signal.Encode(i)}
+}
+
+func putClaim(key string, id tally.ID) hold.Put {
+	v := binary.BigEndian.AppendUint64(nil, id.Life)
+	v = binary.BigEndian.AppendUint64(v, id.N)
+	return hold.Put{Table: tableClaims, Key: []byte(key), Value: append(v, id.At...)}
+}
+
+func readClaim(v []byte) (tally.ID, error) {
+	if len(v) < 16 {
+		return tally.ID{}, errors.New("a claim of " + strconv.Itoa(len(v)) + " bytes")
+	}
+	return tally.ID{Life: binary.BigEndian.Uint64(v), N: binary.BigEndian.Uint64(v[8:]), At: string(v[16:])}, nil
+}
+
+func (b *books) read() error {
+	err := b.disk.Load(tableMeta, func(k, v []byte) error {
+		switch string(k) {
+		case "roll":
+			return signal.Decode(v, &b.roll)
+		case "incs":
+			return signal.Decode(v, &b.incs)
+		case "promised":
+			return signal.Decode(v, &b.acc.Promised)
+		case "accepted":
+			return signal.Decode(v, &b.acc.Accepted)
+		case "chosen":
+			return signal.Decode(v, &b.acc.Chosen)
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	if err := b.disk.Load(tableItems, func(k, v []byte) error {
+		var i manifest.Item
+		if err := signal.Decode(v, &i); err != nil {
+			return err
+		}
+		b.acc.Value[i.Key] = i
+		return nil
+	}); err != nil {
+		return err
+	}
+	if b.acc.Chosen == b.acc.Accepted {
+		b.acc.Stands = b.acc.Value
+	} else { // what was chosen before is not kept: a round tells again
+		b.acc.Chosen = manifest.Ballot{}
+	}
+	now := b.now()
+	return b.disk.Load(tableClaims, func(k, v []byte) error {
+		id, err := readClaim(v)
+		if err == nil { // its age is not known: it counts as new
+			b.ledger.Claim(now, string(k), id)
+		}
+		return err
+	})
+}
+
+// write puts and tells; it fails at once without a disk.
+func (b *books) write(puts []hold.Put, done func(error)) {
+	if b.disk == nil {
+		done(hold.ErrDisk)
+		return
+	}
+	b.disk.Write(puts, done)
+}
+
+// ---- Calls ----
+
+// handle hands a call over to the owner.
+func (p *Purser) handle(c signal.Call) {
+	p.own.Send(func(b *books) {
+		if err := b.take(c); err != nil {
+			p.Counts.Refused.Add(1)
+			c.Reply(nil, err)
+		}
+	})
+}
+
+// take works on a call. It replies, or will, or says what is wrong.
+func (b *books) take(c signal.Call) error {
+	switch c.Kind {
+	case codebook.Prepare:
+		return with(c, b.prepare)
+	case codebook.Accept:
+		return with(c, b.accept)
+	case codebook.Learn:
+		return with(c, b.learn)
+	case codebook.Watch:
+		return with(c, b.watch)
+	case codebook.Claim:
+		return with(c, b.claim)
+	case codebook.Release:
+		return with(c, b.release)
+	case codebook.Muster:
+		return with(c, b.muster)
+	case codebook.Report:
+		c.Reply(b.watched(manifest.Ballot{}), nil)
+		return nil
+	}
+	return plight.New(plight.NoCall, "kind %d", c.Kind)
+}
+
+func with[T any](c signal.Call, f func(signal.Call, T) error) error {
+	var v T
+	if err := signal.Decode(c.Body, &v); err != nil {
+		return err
+	}
+	return f(c, v)
+}
+
+// counts reports whether it may speak as a member.
+func (b *books) counts(epoch uint64) error {
+	switch {
+	case b.state == Repairing:
+		return plight.New(plight.Repairing, "")
+	case b.state != Serving:
+		return plight.New(plight.CoreOut, "%s", b.state)
+	case epoch != b.roll.Epoch:
+		return plight.New(plight.Gone, "epoch %d, here %d", epoch, b.roll.Epoch)
+	case b.disk.Stalled() > stalledAfter:
+		return plight.New(plight.DiskOut, "")
+	}
+	return nil
+}
+
+// stalledAfter is how long one commit may take before calls are refused at once.
+const stalledAfter = 300 * time.Millisecond
+
+func (b *books) prepare(c signal.Call, m codebook.PrepareCall) error {
+	b.p.Counts.Prepares.Add(1)
+	if err := b.counts(m.Epoch); err != nil {
+		return err
+	}
+	if b.accepting {
+		b.queued = append(b.queued, func(b *books) { b.again(c, b.prepare(c, m)) })
+		return nil
+	}
+	given := b.acc.Prepare(m.B)
+	answer := ballot.Promise{Vouch: b.vouch(), Given: given, Promised: b.acc.Promised, Accepted: b.acc.Accepted}
+	if !given {
+		c.Reply(answer, nil)
+		return nil
+	}
+	answer.Items = all(b.acc.Value)
+	b.write([]hold.Put{putBallot("promised", m.B)}, func(err error) { reply(c, answer, err) })
+	return nil
+}
+
+func (b *books) again(c signal.Call, err error) {
+	if err != nil {
+		c.Reply(nil, err)
+	}
+}
+
+func all(s manifest.Set) []manifest.Item {
+	out := make([]manifest.Item, 0, len(s))
+	for _, i := range s {
+		out = append(out, i)
+	}
+	return out
+}
+
+// reply answers once the disk has, from whatever goroutine.
+func reply(c signal.Call, v any, err error) {
+	if err != nil {
+		c.Reply(nil, plight.New(plight.DiskOut, "%w", err))
+		return
+	}
+	c.Reply(v, nil)
+}
+
+func (b *books) accept(c signal.Call, m codebook.AcceptCall) error {
+	b.p.Counts.Accepts.Add(1)
+	if err := b.counts(m.Epoch); err != nil {
+		return err
+	}
+	if b.accepting {
+		b.queued = append(b.queued, func(b *books) { b.again(c, b.accept(c, m)) })
+		return nil
+	}
+	if !b.acc.May(m.B, m.Base) || m.Chosen && !b.acc.Accepted.Less(m.B) {
+		c.Reply(codebook.Accepted{Vouch: b.vouch(), Promised: b.acc.Promised, Accepted: b.acc.Accepted}, nil)
+		return nil
+	}
+	next := b.acc.Next(m.Changes, m.Base.IsZero())
+	puts := []hold.Put{putBallot("promised", m.B), putBallot("accepted", m.B)}
+	if m.Chosen {
+		puts = append(puts, putBallot("chosen", m.B))
+	}
+	for k, i := range next {
+		if old, ok := b.acc.Value[k]; !ok || old.Version != i.Version || old.Ballot != i.Ballot {
+			puts = append(puts, putItem(i))
+		}
+	}
+	for k := range b.acc.Value {
+		if _, ok := next[k]; !ok {
+			puts = append(puts, hold.Put{Table: tableItems, Key: itemKey(k)})
+		}
+	}
+	answer := codebook.Accepted{Vouch: b.vouch(), Taken: true, Accepted: m.B}
+	b.accepting = true
+	b.write(puts, func(err error) {
+		go b.p.own.Send(func(b *books) {
+			b.accepting = false
+			if err == nil {
+				b.acc.Accept(m.B, next)
+				if m.Chosen {
+					b.acc.Learn(m.B)
+				}
+				b.wake()
+			}
+			reply(c, answer, err)
+			queued := b.queued
+			b.queued = nil
+			for _, f := range queued {
+				f(b)
+			}
+		})
+	})
+	return nil
+}
+
+func (b *books) learn(c signal.Call, m codebook.LearnCall) error {
+	if b.accepting {
+		b.queued = append(b.queued, func(b *books) { b.again(c, b.learn(c, m)) })
+		return nil
+	}
+	if b.acc.Learn(m.B) {
+		b.write([]hold.Put{putBallot("chosen", m.B)}, func(error) {}) // a hint: a round tells again what it loses
+		b.wake()
+	}
+	c.Reply(codebook.Accepted{Vouch: b.vouch(), Taken: b.acc.Accepted == m.B, Accepted: b.acc.Accepted}, nil)
+	return nil
+}
+
+func (b *books) watched(have manifest.Ballot) codebook.Watched {
+	return codebook.Watched{Vouch: b.vouch(), Promised: b.acc.Promised, Accepted: b.acc.Accepted, Chosen: b.acc.Chosen,
+		Items: ballot.Since(b.acc.Stands, have), Roll: b.roll, State: string(b.state), Keys: b.ledger.Len()}
+}
+
+// watch answers at once where there is news, and else when there is some or the time is up. A member that may not speak as
+// one says so by its state.
+func (b *books) watch(c signal.Call, m codebook.WatchCall) error {
+	b.p.Counts.Watches.Add(1)
+	w := &watcher{c: c, w: m}
+	if m.HoldMs == 0 || b.news(w) {
+		c.Reply(b.watched(m.Have), nil)
+		return nil
+	}
+	b.watchers = append(b.watchers, w)
+	time.AfterFunc(time.Duration(min(m.HoldMs, 5000))*time.Millisecond, func() {
+		b.p.own.Send(func(b *books) { b.answer(w) })
+	})
+	return nil
+}
+
+func (b *books) news(w *watcher) bool {
+	return w.w.Have.Less(b.acc.Chosen) || w.w.Epoch != b.roll.Epoch && b.roll.Epoch > 0
+}
+
+func (b *books) answer(w *watcher) {
+	if !w.done {
+		w.done = true
+		b.watchers = slices.DeleteFunc(b.watchers, func(o *watcher) bool { return o == w })
+		w.c.Reply(b.watched(w.w.Have), nil)
+	}
+}
+
+// wake answers those for whom there is news.
+func (b *books) wake() {
+	for _, w := range slices.Clone(b.watchers) {
+		if b.news(w) {
+			b.answer(w)
+		}
+	}
+}
+
+func (b *books) claim(c signal.Call, m codebook.ClaimCall) error {
+	b.p.Counts.Claims.Add(1)
+	if err := b.counts(m.Epoch); err != nil {
+		return err
+	}
+	if m.Key == "" || len(m.Key) > maxKey || m.ID.IsZero() {
+		return plight.New(plight.Malformed, "")
+	}
+	holder, granted, fresh := b.ledger.Claim(b.now(), m.Key, m.ID)
+	answer := tally.Grant{Vouch: b.vouch(), Given: granted, Holder: holder}
+	switch {
+	case !granted:
+		b.p.Counts.Denied.Add(1)
+		c.Reply(answer, nil)
+	default: // one that comes again is written again: the first may still be on its way to disk
+		b.write([]hold.Put{putClaim(m.Key, m.ID)}, func(err error) {
+			reply(c, answer, err)
+			if err != nil && fresh {
+				go b.p.own.Send(func(b *books) { b.ledger.Release(m.Key, m.ID) })
+			}
+		})
+	}
+	return nil
+}
+
+// maxKey bounds an operation key.
+const maxKey = 512
+
+func (b *books) release(c signal.Call, m codebook.ReleaseCall) error {
+	if b.ledger.Release(m.Key, m.ID) {
+		b.p.Counts.Released.Add(1)
+		b.write([]hold.Put{{Table: tableClaims, Key: []byte(m.Key)}}, func(error) {}) // what stays blocks a key at the most
+	}
+	c.Reply(nil, nil)
+	return nil
+}
+
+// expireAtOnce bounds the keys that one tick forgets.
+const expireAtOnce = 512
+
+// tick opens a disk that could not be, forgets old keys and goes on with a repair.
+func (b *books) tick() {
+	switch b.state {
+	case NoDisk:
+		b.open()
+	case NoRoll, Repairing:
+		b.repair()
+	}
+	if b.disk == nil {
+		return
+	}
+	if keys := b.ledger.Expire(b.now(), expireAtOnce); len(keys) > 0 {
+		puts := make([]hold.Put, len(keys))
+		for i, k := range keys {
+			puts[i] = hold.Put{Table: tableClaims, Key: []byte(k)}
+		}
+		b.disk.Write(puts, func(error) {})
+	}
+}
--- /dev/null
+++ b/internal/purser/repair.go
@@ -0,0 +1,280 @@
+package purser
+
+import (
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"saltmast/internal/ballot"
+	"saltmast/internal/codebook"
+	"saltmast/internal/hold"
+	"saltmast/internal/manifest"
+	"saltmast/internal/plight"
+	"saltmast/internal/signal"
+	"saltmast/internal/tally"
+)
+
+// A member that lost its disk may have promised, accepted and granted what it no longer knows. It says nothing as a member
+// until it has heard so many of the others that every majority it was ever part of has one among them; each of these has put
+// the new incarnation on disk before it tells what it holds, so that answers given before and after are never counted
+// together (ballot.Sound). With three members that means both others.
+
+// mustered is what one other told.
+type mustered struct {
+	from   int
+	m      codebook.Mustered
+	claims []codebook.ClaimCall
+}
+
+const (
+	musterTime = 700 * time.Millisecond
+	claimsAt   = 2000 // claims a message
+)
+
+// muster tells a member that lost its disk what is held here.
+func (b *books) muster(c signal.Call, m codebook.MusterCall) error {
+	b.p.Counts.Muster.Add(1)
+	if b.roll.Epoch == 0 {
+		return plight.New(plight.CoreOut, "%s", b.state)
+	}
+	at := b.roll.Place(m.Addr)
+	if m.Inc == 0 || at < 0 || b.me < 0 {
+		c.Reply(codebook.Mustered{Vouch: b.vouch(), Roll: b.roll}, nil)
+		return nil
+	}
+	if b.state != Serving {
+		return plight.New(plight.Repairing, "")
+	}
+	if b.accepting {
+		b.queued = append(b.queued, func(b *books) { b.again(c, b.muster(c, m)) })
+		return nil
+	}
+	if b.incs[at] > m.Inc {
+		return plight.New(plight.Preempted, "incarnation %d, here %d", m.Inc, b.incs[at])
+	}
+	b.incs[at] = m.Inc
+	b.write([]hold.Put{b.putIncs()}, func(err error) {
+		if err != nil {
+			reply(c, nil, err)
+			return
+		}
+		go b.p.own.Send(func(b *books) { c.Reply(b.tell(m), nil) })
+	})
+	return nil
+}
+
+// tell is all that is held, the claims in parts by the order of their keys.
+func (b *books) tell(m codebook.MusterCall) codebook.Mustered {
+	t := codebook.Mustered{Vouch: b.vouch(), Roll: b.roll, Promised: b.acc.Promised, Accepted: b.acc.Accepted, Chosen: b.acc.Chosen}
+	if m.From == "" {
+		t.Items = all(b.acc.Value)
+	}
+	b.ledger.All(func(key string, id tally.ID) {
+		if key > m.From {
+			t.Claims = append(t.Claims, codebook.ClaimCall{Key: key, ID: id})
+		}
+	})
+	slices.SortFunc(t.Claims, func(x, y codebook.ClaimCall) int {
+		if x.Key < y.Key {
+			return -1
+		}
+		return 1
+	})
+	if len(t.Claims) > claimsAt {
+		t.Claims, t.More = t.Claims[:claimsAt], true
+	}
+	return t
+}
+
+// repair asks others for the roll, or for all that this member has lost. One runs at a time, off the owner's goroutine.
+func (b *books) repair() {
+	if b.mustering || b.disk == nil {
+		return
+	}
+	b.mustering = true
+	roll, me, state := b.roll, b.me, b.state
+	var addrs []string
+	if state == Repairing {
+		for i, v := range roll.Voters {
+			if i != me {
+				addrs = append(addrs, v.Addr)
+			}
+		}
+	} else {
+		for _, s := range b.p.o.Seeds() {
+			if s != b.p.o.Addr {
+				addrs = append(addrs, s)
+			}
+		}
+	}
+	go func() {
+		var f func(*books)
+		if state == Repairing {
+			f = b.p.recover(addrs, roll, me)
+		} else {
+			f = b.p.enrol(addrs)
+		}
+		b.p.own.Send(func(b *books) {
+			b.mustering = false
+			if f != nil {
+				f(b)
+			}
+		})
+	}()
+}
+
+// ask makes one call to each address, and gives the answers that came.
+func ask[T any](addrs []string, kind uint8, call any) (out []T, from []string) {
+	type told struct {
+		v    T
+		addr string
+		err  error
+	}
+	ch := make(chan told, len(addrs))
+	for _, a := range addrs {
+		go func() {
+			c := signal.NewClient(a)
+			defer c.Close()
+			t := told{addr: a}
+			t.err = c.Call(kind, call, &t.v, musterTime)
+			ch <- t
+		}()
+	}
+	for range addrs {
+		if t := <-ch; t.err == nil {
+			out, from = append(out, t.v), append(from, t.addr)
+		}
+	}
+	return out, from
+}
+
+// enrol learns from others who counts.
+func (p *Purser) enrol(addrs []string) func(*books) {
+	told, _ := ask[codebook.Mustered](addrs, codebook.Muster, codebook.MusterCall{Addr: p.o.Addr})
+	var roll codebook.Roll
+	for _, t := range told {
+		if t.Roll.Epoch > roll.Epoch {
+			roll = t.Roll
+		}
+	}
+	if roll.Epoch == 0 {
+		return nil
+	}
+	return func(b *books) {
+		if b.roll.Epoch >= roll.Epoch || b.disk == nil {
+			return
+		}
+		b.roll = roll
+		b.place()
+		b.write([]hold.Put{b.putRoll(), b.putIncs()}, func(error) {}) // asked for again where it is lost
+		if b.me >= 0 {
+			b.set(Repairing)
+			b.repair()
+		} else {
+			b.set(Apart)
+		}
+		b.wake()
+	}
+}
+
+// recover makes up for a lost disk.
+func (p *Purser) recover(addrs []string, roll codebook.Roll, me int) func(*books) {
+	n := len(roll.Voters)
+	need := n - ballot.Majority(n) + 1 // with fewer others heard, a majority that held this member may have none among them
+	known, _ := ask[codebook.Mustered](addrs, codebook.Muster, codebook.MusterCall{Addr: p.o.Addr})
+	if len(known) < need {
+		return nil
+	}
+	var inc uint64
+	for _, k := range known {
+		if me < len(k.Vouch.Incs) {
+			inc = max(inc, k.Vouch.Incs[me])
+		}
+	}
+	inc++
+	var got []mustered
+	first, from := ask[codebook.Mustered](addrs, codebook.Muster, codebook.MusterCall{Addr: p.o.Addr, Inc: inc})
+	for i, m := range first {
+		one := mustered{m: m, claims: m.Claims}
+		for m.More {
+			c := signal.NewClient(from[i])
+			call := codebook.MusterCall{Addr: p.o.Addr, Inc: inc, From: m.Claims[len(m.Claims)-1].Key}
+			m = codebook.Mustered{}
+			err := c.Call(codebook.Muster, call, &m, musterTime)
+			c.Close()
+			if err != nil {
+				return nil
+			}
+			one.claims = append(one.claims, m.Claims...)
+		}
+		if m.Vouch.By >= 0 && m.Roll.Epoch == roll.Epoch {
+			got = append(got, one)
+		}
+	}
+	if len(got) < need {
+		return nil
+	}
+	return func(b *books) { b.restore(inc, got) }
+}
+
+// restore takes what the others told, puts it on disk, and counts again.
+func (b *books) restore(inc uint64, got []mustered) {
+	if b.state != Repairing || b.disk == nil {
+		return
+	}
+	b.clear()
+	incs := make([]uint64, len(b.roll.Voters))
+	incs[b.me] = inc
+	for _, g := range got {
+		for i, k := range g.m.Vouch.Incs {
+			if i < len(incs) && i != b.me {
+				incs[i] = max(incs[i], k)
+			}
+		}
+		if b.acc.Promised.Less(g.m.Promised) {
+			b.acc.Promised = g.m.Promised
+		}
+		if b.acc.Accepted.Less(g.m.Accepted) {
+			b.acc.Accepted = g.m.Accepted
+			b.acc.Value = manifest.Set{}
+			for _, i := range g.m.Items {
+				b.acc.Value[i.Key] = i
+			}
+		}
+		for _, c := range g.claims { // of two for one key neither can have a majority without the other's member: the first stays
+			b.ledger.Claim(b.now(), c.Key, c.ID)
+		}
+	}
+	for _, g := range got {
+		if g.m.Chosen == b.acc.Accepted {
+			b.acc.Learn(g.m.Chosen)
+		}
+	}
+	puts := []hold.Put{putBallot("promised", b.acc.Promised), putBallot("accepted", b.acc.Accepted), putBallot("chosen", b.acc.Chosen)}
+	for _, i := range b.acc.Value {
+		puts = append(puts, putItem(i))
+	}
+	b.ledger.All(func(key string, id tally.ID) { puts = append(puts, putClaim(key, id)) })
+	const part = 1000
+	var failed atomic.Bool // parts are written in order, and told in order
+	for len(puts) > part {
+		b.write(puts[:part], func(err error) { failed.Store(failed.Load() || err != nil) })
+		puts = puts[part:]
+	}
+	saved := b.incs
+	b.incs = incs
+	last := append(slices.Clone(puts), b.putIncs()) // its incarnation comes last: before it, the repair is not done
+	b.incs = saved
+	b.write(last, func(err error) {
+		go b.p.own.Send(func(b *books) {
+			if err != nil || failed.Load() || b.state != Repairing {
+				return
+			}
+			b.incs = incs
+			b.set(Serving)
+			b.p.o.Log("repair", fmt.Sprintf("made up for by %d others: incarnation %d, %d items, %d keys", len(got), inc, len(b.acc.Value), b.ledger.Len()))
+			b.wake()
+		})
+	})
+}
--- /dev/null
+++ b/internal/signal/signal.go
@@ -0,0 +1,437 @@
+// Package signal carries calls between the mesh's own programs: CBOR messages in frames over TCP, many under way on one
+// connection, each answered once or not at all. It decides nothing and repeats nothing. Start reading at Client and Serve.
+//
+// A frame: 4 bytes length of what follows, 4 bytes number of the call, 1 byte kind, 1 byte plight (0 in a call), then the
+// message. Frames of over MaxFrame end the connection, as does a peer that reads nothing while over maxQueued wait for it.
+package signal
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sys/unix"
+
+	"saltmast/internal/plight"
+)
+
+const (
+	// MaxFrame is how many bytes one message may have.
+	MaxFrame  = 16 << 20
+	maxQueued = 32 << 20 // bytes that may wait to be written to one peer
+	maxCalls  = 4096     // calls that may wait for one peer
+	headBytes = 10
+	// DialTime bounds how long a connection may take to come up.
+	DialTime = 400 * time.Millisecond
+	// silence is how long sent bytes may stay unacknowledged before a connection counts as dead.
+	silence   = 1200 * time.Millisecond
+	pauseLow  = 30 * time.Millisecond // between dials that failed, doubled ...
+	pauseHigh = 400 * time.Millisecond
+)
+
+var (
+	encMode, _ = cbor.CoreDetEncOptions().EncMode()
+	decMode, _ = cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20, MaxNestedLevels: 16}.DecMode()
+)
+
+// Encode gives a message's bytes.
+func Encode(v any) []byte {
+	b, err := encMode.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("signal: a message that can't be encoded: %v", err)) // a type of ours that CBOR does not know
+	}
+	return b
+}
+
+// Decode reads a message; bytes that are none give plight.Malformed.
+func Decode(b []byte, v any) error {
+	if err := decMode.Unmarshal(b, v); err != nil {
+		return plight.New(plight.Malformed, "%w", err)
+	}
+	return nil
+}
+
+// SetOptions sets what links between the mesh's machines want of a socket: one whose sent bytes stay unacknowledged for
+// wait, or whose peer answers no keep-alive, ends.
+func SetOptions(fd uintptr, wait time.Duration) error {
+	f := int(fd)
+	return errors.Join(
+		unix.SetsockoptInt(f, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(wait.Milliseconds())),
+		unix.SetsockoptInt(f, unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1),
+		unix.SetsockoptInt(f, unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, 1),
+		unix.SetsockoptInt(f, unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, 1),
+		unix.SetsockoptInt(f, unix.IPPROTO_TCP, unix.TCP_KEEPCNT, 2))
+}
+
+func control(wait time.Duration) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { SetOptions(fd, wait) }) // a system without them does without
+	}
+}
+
+// link is one connection with its queue of bytes to be written.
+type link struct {
+	net.Conn
+	mu    sync.Mutex
+	out   []byte
+	wake  chan struct{}
+	ended bool
+}
+
+func newLink(c net.Conn) *link {
+	l := &link{Conn: c, wake: make(chan struct{}, 1)}
+	go l.write()
+	return l
+}
+
+// send queues a frame. It never waits.
+func (l *link) send(id uint32, kind uint8, p plight.Kind, body []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended {
+		return
+	}
+	if len(l.out)+len(body) > maxQueued {
+		go l.end()
+		return
+	}
+	l.out = binary.BigEndian.AppendUint32(l.out, uint32(6+len(body)))
+	l.out = binary.BigEndian.AppendUint32(l.out, id)
+	l.out = append(l.out, kind, byte(p))
+	l.out = append(l.out, body...)
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (l *link) write() {
+	var spare []byte
+	for range l.wake {
+		l.mu.Lock()
+		out := l.out
+		l.out = spare[:0]
+		ended := l.ended
+		l.mu.Unlock()
+		if ended {
+			return
+		}
+		if len(out) > 0 {
+			if _, err := l.Conn.Write(out); err != nil {
+				l.end()
+				return
+			}
+		}
+		if spare = out; cap(spare) > 64<<10 {
+			spare = nil
+		}
+	}
+}
+
+func (l *link) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.ended {
+		l.ended = true
+		close(l.wake)
+	}
+	l.Conn.Close()
+}
+
+// frame is one read frame; its body is the reader's own.
+type frame struct {
+	id   uint32
+	kind uint8
+	err  plight.Kind
+	body []byte
+}
+
+func readFrame(in *bufio.Reader) (frame, error) {
+	var head [headBytes]byte
+	if _, err := io.ReadFull(in, head[:]); err != nil {
+		return frame{}, err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n < 6 || n > MaxFrame {
+		return frame{}, fmt.Errorf("a frame of %d bytes", n)
+	}
+	f := frame{id: binary.BigEndian.Uint32(head[4:]), kind: head[8], err: plight.Kind(head[9]), body: make([]byte, n-6)}
+	_, err := io.ReadFull(in, f.body)
+	return f, err
+}
+
+// Call is one call at the side that answers.
+type Call struct {
+	Kind uint8
+	Body []byte
+	From string // the caller's address
+	id   uint32
+	l    *link
+}
+
+// Reply answers a call, from any goroutine, once. A caller that has gone is told nothing.
+func (c Call) Reply(v any, err error) {
+	var body []byte
+	if err == nil && v != nil {
+		body = Encode(v)
+	}
+	c.l.send(c.id, c.Kind, plight.Of(err), body)
+}
+
+// Server answers calls.
+type Server struct {
+	l      net.Listener
+	handle func(Call)
+	mu     sync.Mutex
+	links  map[*link]bool
+	ended  bool
+}
+
+// Serve answers the calls that come to l, until Close. handle is called in turn for the calls of one connection and must
+// not wait; it replies when it can.
+func Serve(l net.Listener, handle func(Call)) *Server {
+	s := &Server{l: l, handle: handle, links: map[*link]bool{}}
+	go s.accept()
+	return s
+}
+
+// Listen listens at an address of this machine for links between the mesh's programs.
+func Listen(addr string) (net.Listener, error) {
+	lc := net.ListenConfig{Control: control(silence), KeepAlive: -1}
+	return lc.Listen(context.Background(), "tcp4", addr)
+}
+
+func (s *Server) accept() {
+	for {
+		c, err := s.l.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			time.Sleep(10 * time.Millisecond) // out of descriptors: some are given back soon
+			continue
+		}
+		if t, ok := c.(*net.TCPConn); ok {
+			if raw, err := t.SyscallConn(); err == nil {
+				raw.Control(func(fd uintptr) { SetOptions(fd, silence) })
+			}
+		}
+		l := newLink(c)
+		s.mu.Lock()
+		if s.ended {
+			s.mu.Unlock()
+			l.end()
+			return
+		}
+		s.links[l] = true
+		s.mu.Unlock()
+		go func() {
+			in, from := bufio.NewReaderSize(c, 4<<10), c.RemoteAddr().String()
+			for {
+				f, err := readFrame(in)
+				if err != nil {
+					break
+				}
+				s.handle(Call{Kind: f.kind, Body: f.body, From: from, id: f.id, l: l})
+			}
+			l.end()
+			s.mu.Lock()
+			delete(s.links, l)
+			s.mu.Unlock()
+		}()
+	}
+}
+
+// Close ends the listener and all connections.
+func (s *Server) Close() {
+	s.l.Close()
+	s.mu.Lock()
+	s.ended = true
+	links := s.links
+	s.links = map[*link]bool{}
+	s.mu.Unlock()
+	for l := range links {
+		l.end()
+	}
+}
+
+// Client calls one peer. The connection is made when it is needed and made again after it ended; calls that were under
+// way then fail with plight.Broken, those that never left with plight.Away.
+type Client struct {
+	addr string
+
+	mu      sync.Mutex
+	l       *link
+	dialing bool
+	waiting map[uint32]*pending // under way, or queued for the dial
+	queued  []queued
+	next    uint32
+	pause   time.Duration
+	till    time.Time // no dial before
+	heard   time.Time // the last frame
+	closed  bool
+}
+
+type pending struct {
+	done func(body []byte, err error)
+	sent time.Time
+}
+
+type queued struct {
+	id   uint32
+	kind uint8
+	body []byte
+}
+
+// NewClient returns a client of the peer at addr. Nothing is dialled yet.
+func NewClient(addr string) *Client {
+	return &Client{addr: addr, waiting: map[uint32]*pending{}}
+}
+
+// Addr is the peer's address.
+func (c *Client) Addr() string { return c.addr }
+
+// Go begins a call, of a message that is encoded already, and returns its number. done is called once, from another
+// goroutine, unless the call is forgotten before; it must not wait.
+func (c *Client) Go(kind uint8, body []byte, done func(body []byte, err error)) uint32 {
+	c.mu.Lock()
+	c.next++
+	id := c.next
+	now := time.Now()
+	switch {
+	case c.closed, len(c.waiting) >= maxCalls, c.l == nil && !c.dialing && now.Before(c.till):
+		c.mu.Unlock()
+		go done(nil, plight.New(plight.Away, "%s", c.addr))
+		return 0
+	}
+	c.waiting[id] = &pending{done, now}
+	if c.l != nil {
+		l := c.l
+		c.mu.Unlock()
+		l.send(id, kind, plight.OK, body)
+		return id
+	}
+	c.queued = append(c.queued, queued{id, kind, body})
+	if !c.dialing {
+		c.dialing = true
+		go c.dial()
+	}
+	c.mu.Unlock()
+	return id
+}
+
+// Forget ends the wait for a call. If the peer has said nothing since long before, the connection is given up: one behind
+// a cut comes back late or not at all, a new one tells at once.
+func (c *Client) Forget(id uint32) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.waiting[id]
+	if p == nil {
+		return
+	}
+	delete(c.waiting, id)
+	if c.l != nil && c.heard.Before(p.sent) && time.Since(p.sent) > silence/2 {
+		go c.l.end()
+	}
+}
+
+// Call makes a call and waits for its answer, for at most wait.
+func (c *Client) Call(kind uint8, v, answer any, wait time.Duration) error {
+	type result struct {
+		body []byte
+		err  error
+	}
+	ch := make(chan result, 1)
+	id := c.Go(kind, Encode(v), func(body []byte, err error) { ch <- result{body, err} })
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case r := <-ch:
+		if r.err != nil || answer == nil {
+			return r.err
+		}
+		return Decode(r.body, answer)
+	case <-t.C:
+		c.Forget(id)
+		return plight.New(plight.TimedOut, "%s", c.addr)
+	}
+}
+
+// Close ends the connection; what waits fails.
+func (c *Client) Close() {
+	c.mu.Lock()
+	c.closed = true
+	l := c.l
+	c.mu.Unlock()
+	if l != nil {
+		l.end()
+	}
+}
+
+func (c *Client) dial() {
+	d := net.Dialer{Timeout: DialTime, KeepAlive: -1, Control: control(silence)}
+	nc, err := d.Dial("tcp4", c.addr)
+	c.mu.Lock()
+	c.dialing = false
+	if err != nil || c.closed {
+		if nc != nil {
+			nc.Close()
+		}
+		c.pause = min(max(pauseLow, 2*c.pause), pauseHigh)
+		c.till = time.Now().Add(c.pause)
+		c.failAll(plight.New(plight.Away, "%s", c.addr))
+		return
+	}
+	c.pause = 0
+	l := newLink(nc)
+	c.l, c.heard = l, time.Now()
+	for _, q := range c.queued {
+		if c.waiting[q.id] != nil {
+			l.send(q.id, q.kind, plight.OK, q.body)
+		}
+	}
+	c.queued = nil
+	c.mu.Unlock()
+	in := bufio.NewReaderSize(nc, 4<<10)
+	for {
+		f, err := readFrame(in)
+		if err != nil {
+			break
+		}
+		c.mu.Lock()
+		c.heard = time.Now()
+		p := c.waiting[f.id]
+		delete(c.waiting, f.id)
+		c.mu.Unlock()
+		if p == nil {
+			continue
+		}
+		if f.err != plight.OK {
+			p.done(nil, &plight.Error{Kind: f.err})
+		} else {
+			p.done(f.body, nil)
+		}
+	}
+	l.end()
+	c.mu.Lock()
+	c.l = nil
+	c.failAll(plight.New(plight.Broken, "%s", c.addr))
+}
+
+// failAll fails all that waits. The caller holds c.mu, which it gives back.
+func (c *Client) failAll(err error) {
+	all := c.waiting
+	c.waiting, c.queued = map[uint32]*pending{}, nil
+	c.mu.Unlock()
+	for _, p := range all {
+		p.done(nil, err)
+	}
+}
