The framing of HTTP/1.1 is a package of its own

Need: a second program, a proxy, reads and writes the same HTTP/1.1 and must end heads and bodies where the agent does. The code stood inside the front and inside the attempts. Change: internal/http1 has it, moved: heads of requests and answers, bodies, their limits passed in. FuzzHead moved along, and its line in check.sh.

--- a/check.sh
+++ b/check.sh
@@ -15,7 +15,7 @@
 # A short run of the fuzzer, bounded by its count; what it ever found stands in testdata and is part of the tests.
 go test -run='^$' -fuzz=FuzzScan -fuzztime=20000x ./internal/thrift
 go test -run='^$' -fuzz=FuzzReaders -fuzztime=20000x ./internal/recording
-go test -run='^$' -fuzz=FuzzHead -fuzztime=20000x ./internal/front/http
+go test -run='^$' -fuzz=FuzzHead -fuzztime=20000x ./internal/http1
 go test -run='^$' -fuzz=FuzzDecode -fuzztime=20000x ./internal/maintenance
 go test -run='^$' -fuzz=FuzzDecode -fuzztime=20000x ./internal/shared
 # Rehearsals watch their own lateness and play again what the machine was too busy for, and whole agents take a standstill of
--- a/internal/front/http/conn.go
+++ b/internal/front/http/conn.go
@@ -5,12 +5,12 @@
 	"errors"
 	"io"
 	"net"
-	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
 	"saltmast/internal/conns"
+	"saltmast/internal/http1"
+	"saltmast/internal/keep"
 	"saltmast/internal/sock"
 )
 
@@ -33,6 +33,9 @@
 	copyBytes = 16 << 10
 )
 
+// limits bound what is read of a request.
+var limits = http1.Limits{Head: 12 << 10, Body: keep.Most}
+
 // conn is one connection of a client. One goroutine serves it; while a body passes, that of the attempt reads it.
 type conn struct {
 	net.Conn
@@ -69,10 +72,10 @@
 			return
 		}
 		c.SetReadDeadline(time.Now().Add(headTime))
-		r, bad := readHead(c.in)
+		r, bad := http1.ReadRequest(c.in, limits)
 		if bad != nil {
-			if !bad.gone {
-				c.turnAway(bad.status, bad.why)
+			if !bad.Gone {
+				c.turnAway(bad.Status, bad.Why)
 			}
 			return
 		}
@@ -138,33 +141,13 @@
 // put writes one whole message in one go.
 func (c *conn) put(status int, head string, body []byte, last bool) bool {
 	buf := make([]byte, 0, 160+len(head)+len(body))
-	buf = appendHead(buf, status, head, int64(len(body)), last)
+	buf = http1.AppendHead(buf, status, head, int64(len(body)), last)
 	buf = append(buf, body...)
 	c.SetWriteDeadline(time.Now().Add(slowStart))
 	_, err := c.Conn.Write(buf)
 	return err == nil
 }
 
-// appendHead appends the head of an answer; length -1: in chunks.
-func appendHead(buf []byte, status int, head string, length int64, last bool) []byte {
-	buf = append(buf, "HTTP/1.1 "...)
-	buf = strconv.AppendInt(buf, int64(status), 10)
-	buf = append(buf, ' ')
-	buf = append(buf, http.StatusText(status)...)
-	if length < 0 {
-		buf = append(buf, "\r\nTransfer-Encoding: chunked\r\n"...)
-	} else {
-		buf = append(buf, "\r\nContent-Length: "...)
-		buf = strconv.AppendInt(buf, length, 10)
-		buf = append(buf, "\r\n"...)
-	}
-	buf = append(buf, head...)
-	if last {
-		buf = append(buf, "Connection: close\r\n"...)
-	}
-	return append(buf, "\r\n"...)
-}
-
 // turnAway answers what is no request and ends its connection: what follows on it can't be trusted, and the rest of its
 // body is not worth reading.
 func (c *conn) turnAway(status int, why string) {
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -25,6 +25,7 @@
 	"saltmast"
 	"saltmast/internal/conns"
 	"saltmast/internal/core"
+	"saltmast/internal/http1"
 	"saltmast/internal/keep"
 	"saltmast/internal/sock"
 	"saltmast/internal/upstream"
@@ -187,8 +188,8 @@
 }
 
 // answer answers one request, and reports whether its connection goes on.
-func (f *Front) answer(c *conn, r *request) bool {
-	if r.path == "/healthz" {
+func (f *Front) answer(c *conn, r *http1.Request) bool {
+	if r.Path == "/healthz" {
 		// Whoever asks for this asks once; seen in hundreds, each keeping its connection for good.
 		status, text := f.health()
 		c.put(status, "", []byte(text), true)
@@ -201,14 +202,14 @@
 		c.turnAway(status, why)
 		return false
 	}
-	hold, way := f.bodies.Begin(r.length)
+	hold, way := f.bodies.Begin(r.Length)
 	defer hold.Release()
-	q := &upstream.HTTP{Key: r.header.Get("Idempotency-Key"), Method: r.method, Host: r.host, Target: r.target}
+	q := &upstream.HTTP{Key: r.Header.Get("Idempotency-Key"), Method: r.Method, Host: r.Host, Target: r.Target}
 	record := event.Class < len(terms.Record.Classes) && terms.Record.Classes[event.Class]
 	arrived := time.Now()
-	var body *source
-	if r.length != 0 {
-		body = c.source(r.length)
+	var body *http1.Body
+	if r.Length != 0 {
+		body = c.source(r.Length)
 		q.Body, q.Coming, status, why = c.readBody(r, body, hold, way)
 		if status == 0 && q.Coming != nil && record {
 			status, why = http.StatusRequestEntityTooLarge, "too large a body for a request that must be recorded before it goes out"
@@ -225,7 +226,7 @@
 	event.Coming = q.Coming != nil
 	req := f.loop.NewRequest(terms.Settings, event, arrived, q)
 	if record {
-		req.Record = &core.Record{Class: terms.Classes[event.Class], Account: terms.Record.account(r.header, q.Body), Key: q.Key, Digest: sha256.Sum256(q.Body)}
+		req.Record = &core.Record{Class: terms.Classes[event.Class], Account: terms.Record.account(r.Header, q.Body), Key: q.Key, Digest: sha256.Sum256(q.Body)}
 	}
 	// Guards against a process that was stopped for longer than its clients wait: what they sent meanwhile is read when it
 	// wakes, and would go out before the loop hears that they have left.
@@ -253,7 +254,7 @@
 
 // finishComing sees a request to its end whose body passes. The attempt reads it; only once that has let go of it may the
 // connection be used for more.
-func (f *Front) finishComing(c *conn, r *request, req *core.Request, coming *upstream.Coming, body *source) bool {
+func (f *Front) finishComing(c *conn, r *http1.Request, req *core.Request, coming *upstream.Coming, body *http1.Body) bool {
 	select {
 	case a := <-req.Answer():
 		free := coming.Free()
@@ -263,7 +264,7 @@
 			}
 			return false
 		}
-		whole := free && body.whole()
+		whole := free && body.Whole()
 		if ok := f.write(c, r, a, whole); ok && whole {
 			return true
 		}
@@ -294,44 +295,44 @@
 const maxKey = 255
 
 // parse reads a request's head. A status other than 0 says what is wrong with it.
-func (t *terms) parse(r *request) (e saltmast.Request, status int, why string) {
-	name, _, _ := strings.Cut(strings.TrimPrefix(r.path, "/"), "/")
+func (t *terms) parse(r *http1.Request) (e saltmast.Request, status int, why string) {
+	name, _, _ := strings.Cut(strings.TrimPrefix(r.Path, "/"), "/")
 	class, ok := t.classes[name]
 	if !ok {
 		return e, http.StatusNotFound, "unknown class"
 	}
 	effect := t.Settings.Classes[class].Effect
-	if want := method(effect); r.method != want {
+	if want := method(effect); r.Method != want {
 		return e, http.StatusMethodNotAllowed, want + " wanted"
 	}
 	for _, name := range once {
-		if len(r.header[name]) > 1 {
+		if len(r.Header[name]) > 1 {
 			return e, http.StatusBadRequest, name + " twice"
 		}
 	}
-	if effect == saltmast.Safe && r.length != 0 {
+	if effect == saltmast.Safe && r.Length != 0 {
 		return e, http.StatusBadRequest, "a body with GET"
 	}
-	e = saltmast.Request{ID: r.header.Get("X-Call-Id"), Class: class, Key: r.header.Get("X-Route-Hash"),
-		Repeat: r.header.Get("X-Again") == "1"}
+	e = saltmast.Request{ID: r.Header.Get("X-Call-Id"), Class: class, Key: r.Header.Get("X-Route-Hash"),
+		Repeat: r.Header.Get("X-Again") == "1"}
 	if !validID(e.ID) {
 		return e, http.StatusBadRequest, "X-Call-Id: 16 hex digits wanted"
 	}
-	budget, err := strconv.ParseUint(r.header.Get("X-Budget-Ms"), 10, 32)
+	budget, err := strconv.ParseUint(r.Header.Get("X-Budget-Ms"), 10, 32)
 	if e.Left = time.Duration(budget) * time.Millisecond; err != nil || e.Left <= 0 || e.Left > maxBudget {
 		return e, http.StatusBadRequest, "X-Budget-Ms: whole milliseconds wanted"
 	}
 	e.Left = min(e.Left, t.Settings.Classes[class].Deadline) // no client of the class waits longer
 	// Backends know a repeat by its key alone: without one, a second attempt might run again.
-	if key := r.header.Get("Idempotency-Key"); (effect == saltmast.Keyed) != (key != "") || len(key) > maxKey {
+	if key := r.Header.Get("Idempotency-Key"); (effect == saltmast.Keyed) != (key != "") || len(key) > maxKey {
 		return e, http.StatusBadRequest, "Idempotency-Key: wanted for a keyed class alone"
 	}
-	if text := r.header.Get("X-Call-Cost"); text != "" {
+	if text := r.Header.Get("X-Call-Cost"); text != "" {
 		if us, err := strconv.ParseFloat(text, 64); err == nil && us > 0 && us < 1e12 {
 			e.Work = time.Duration(us * 1e3)
 		}
 	}
-	if i := slices.Index(t.Tenants, r.header.Get("X-Caller")); i > 0 {
+	if i := slices.Index(t.Tenants, r.Header.Get("X-Caller")); i > 0 {
 		e.Tenant = i
 	}
 	return e, 0, ""
@@ -385,8 +386,8 @@
 }
 
 // write answers a client, and reports whether its connection goes on. more: it may.
-func (f *Front) write(c *conn, r *request, a core.Answer, more bool) bool {
-	last := r.last || !more || f.conns.Crowded() || f.leaving()
+func (f *Front) write(c *conn, r *http1.Request, a core.Answer, more bool) bool {
+	last := r.Last || !more || f.conns.Crowded() || f.leaving()
 	status, body := http.StatusBadGateway, []byte(nil)
 	switch a.Kind {
 	case core.Served:
--- a/internal/front/http/head.go
+++ b/internal/http1/request.go
@@ -1,4 +1,7 @@
-package http
+// Package http1 is the framing of HTTP/1.1 for servers and clients: where a head and a body end, and nothing else. It opens no
+// connection, sets no deadline and decides nothing. It is strict where two readers could differ on where a message ends. Start
+// reading at ReadRequest and ReadAnswer.
+package http1
 
 import (
 	"bufio"
@@ -9,43 +12,49 @@
 	"net/url"
 	"strconv"
 	"strings"
-
-	"saltmast/internal/keep"
 )
 
 const (
-	maxHead  = 12 << 10 // bytes of a request's head
-	maxEmpty = 4        // empty lines ahead of a request, which some clients send behind a body
-	chunked  = -1       // the length of a body in chunks
+	Chunked    = -1 // the length of a body in chunks
+	UntilClose = -2 // the length of an answer that ends with its connection
 )
 
-// request is the head of a request.
-type request struct {
-	method string
-	target string // path and query as they came, for the backend
-	path   string // decoded
-	host   string
-	header http.Header
-	length int64 // of the body; chunked
-	expect bool  // the client waits for 100 before it sends the body
-	last   bool  // nothing follows on its connection
+// maxEmpty is how many empty lines may come ahead of a request: some clients send them behind a body.
+const maxEmpty = 4
+
+// Limits bound what is read of a request.
+type Limits struct {
+	Head int   // bytes of the request line and the header lines with their ends, and as many of a trailer
+	Body int64 // bytes of a body, without what frames it; 0: none but an empty one is taken
+}
+
+// Request is the head of a request.
+type Request struct {
+	Method string
+	Target string      // path and query as they came; of the absolute form, what follows the host
+	Path   string      // of Target, decoded
+	Host   string      // never empty; that of the absolute form where there is one
+	Header http.Header // by canonical names; Host is among them as it came
+	Length int64       // bytes of the body, or Chunked
+	Expect bool        // the client waits for 100 before it sends the body
+	Last   bool        // nothing follows on its connection
 }
 
-// badRequest says what is wrong with a head.
-type badRequest struct {
-	status int
-	why    string
-	gone   bool // it did not come whole
+// Bad says what is wrong with a head.
+type Bad struct {
+	Status int    // to answer with; 0 where Gone
+	Why    string // in a few words, without what came
+	Gone   bool   // it did not come whole: the connection ended or failed before
 }
 
-func bad(status int, format string, args ...any) *badRequest {
-	return &badRequest{status: status, why: fmt.Sprintf(format, args...)}
+func bad(status int, format string, args ...any) *Bad {
+	return &Bad{Status: status, Why: fmt.Sprintf(format, args...)}
 }
 
-// readHead reads one head. It is strict where readers could differ on where a request ends: what two may read in two ways is
-// turned away.
-func readHead(in *bufio.Reader) (*request, *badRequest) {
-	left := maxHead
+// ReadRequest reads one head and no further. It is strict where readers could differ on where a request ends: what two may read
+// in two ways is turned away, so nothing that follows a Bad on its connection may be read as a request.
+func ReadRequest(in *bufio.Reader, l Limits) (*Request, *Bad) {
+	left := l.Head
 	line, b := readLine(in, &left)
 	for range maxEmpty {
 		if b != nil || line != "" {
@@ -67,7 +76,7 @@
 		}
 		return nil, bad(http.StatusHTTPVersionNotSupported, "HTTP/1.1 wanted")
 	}
-	r := &request{method: method, header: make(http.Header, 8)}
+	r := &Request{Method: method, Header: make(http.Header, 8)}
 	for {
 		line, b := readLine(in, &left)
 		if b != nil {
@@ -85,9 +94,9 @@
 			return nil, bad(http.StatusBadRequest, "a header with control characters")
 		}
 		name = textproto.CanonicalMIMEHeaderKey(name)
-		r.header[name] = append(r.header[name], value)
+		r.Header[name] = append(r.Header[name], value)
 	}
-	if b := r.frame(); b != nil {
+	if b := r.frame(l.Body); b != nil {
 		return nil, b
 	}
 	if b := r.aim(target); b != nil {
@@ -97,8 +106,8 @@
 }
 
 // frame finds where the body ends.
-func (r *request) frame() *badRequest {
-	lengths, encodings := r.header["Content-Length"], r.header["Transfer-Encoding"]
+func (r *Request) frame(most int64) *Bad {
+	lengths, encodings := r.Header["Content-Length"], r.Header["Transfer-Encoding"]
 	switch {
 	case len(lengths)+len(encodings) > 1:
 		return bad(http.StatusBadRequest, "framed twice")
@@ -106,37 +115,37 @@
 		if !strings.EqualFold(encodings[0], "chunked") {
 			return bad(http.StatusNotImplemented, "an encoding other than chunked")
 		}
-		r.length = chunked
+		r.Length = Chunked
 	case len(lengths) == 1:
 		n, err := strconv.ParseUint(lengths[0], 10, 62)
 		if err != nil || strings.HasPrefix(lengths[0], "+") {
 			return bad(http.StatusBadRequest, "a length that is none")
 		}
-		if r.length = int64(n); r.length > keep.Most {
+		if r.Length = int64(n); r.Length > most {
 			return bad(http.StatusRequestEntityTooLarge, "too large a body")
 		}
 	}
-	for _, v := range r.header["Expect"] {
+	for _, v := range r.Header["Expect"] {
 		if !strings.EqualFold(v, "100-continue") {
 			return bad(http.StatusExpectationFailed, "an expectation other than 100-continue")
 		}
-		r.expect = r.length != 0
+		r.Expect = r.Length != 0
 	}
-	for _, v := range r.header["Connection"] {
+	for _, v := range r.Header["Connection"] {
 		for option := range strings.SplitSeq(v, ",") {
-			r.last = r.last || strings.EqualFold(strings.TrimSpace(option), "close")
+			r.Last = r.Last || strings.EqualFold(strings.TrimSpace(option), "close")
 		}
 	}
 	return nil
 }
 
 // aim reads the target: a path, or the absolute form of one.
-func (r *request) aim(target string) *badRequest {
-	hosts := r.header["Host"]
+func (r *Request) aim(target string) *Bad {
+	hosts := r.Header["Host"]
 	if len(hosts) != 1 {
 		return bad(http.StatusBadRequest, "one Host wanted")
 	}
-	r.host = hosts[0]
+	r.Host = hosts[0]
 	if !strings.HasPrefix(target, "/") {
 		rest, ok := strings.CutPrefix(strings.ToLower(target[:min(len(target), 7)])+target[min(len(target), 7):], "http://")
 		if !ok {
@@ -146,12 +155,12 @@
 		if end < 0 {
 			end = len(rest)
 		}
-		r.host, target = rest[:end], rest[end:]
+		r.Host, target = rest[:end], rest[end:]
 		if !strings.HasPrefix(target, "/") {
 			target = "/" + target
 		}
 	}
-	if r.host == "" || strings.ContainsAny(r.host, " /?#@\t") {
+	if r.Host == "" || strings.ContainsAny(r.Host, " /?#@\t") {
 		return bad(http.StatusBadRequest, "no host")
 	}
 	path, _, _ := strings.Cut(target, "?")
@@ -159,12 +168,12 @@
 	if err != nil || !plain(target) || strings.ContainsAny(target, " #") {
 		return bad(http.StatusBadRequest, "malformed path")
 	}
-	r.target, r.path = target, decoded
+	r.Target, r.Path = target, decoded
 	return nil
 }
 
 // readLine reads one line without its end, within what is left of the head.
-func readLine(in *bufio.Reader, left *int) (string, *badRequest) {
+func readLine(in *bufio.Reader, left *int) (string, *Bad) {
 	var long []byte
 	for {
 		part, err := in.ReadSlice('\n')
@@ -184,7 +193,7 @@
 		case bufio.ErrBufferFull:
 			long = append(long, part...)
 		default:
-			return "", &badRequest{gone: true, why: err.Error()}
+			return "", &Bad{Gone: true, Why: err.Error()}
 		}
 	}
 }
@@ -209,21 +218,20 @@
 	return true
 }
 
-// skipTrailer reads what follows the last chunk, to its empty line.
-func skipTrailer(in *bufio.Reader) error {
-	left := maxHead
+// skipTrailer reads what follows the last chunk, to its empty line, within so many bytes.
+func skipTrailer(in *bufio.Reader, left int) error {
 	for {
 		line, b := readLine(in, &left)
 		switch {
-		case b != nil && b.gone:
+		case b != nil && b.Gone:
 			return io.ErrUnexpectedEOF
 		case b != nil:
-			return fmt.Errorf("%w: %s", errBody, b.why)
+			return fmt.Errorf("%w: %s", ErrBody, b.Why)
 		case line == "":
 			return nil
 		}
 		if name, _, ok := strings.Cut(line, ":"); !ok || !token(name) {
-			return fmt.Errorf("%w: a malformed trailer", errBody)
+			return fmt.Errorf("%w: a malformed trailer", ErrBody)
 		}
 	}
 }
--- a/internal/front/http/head_test.go
+++ b/internal/http1/request_test.go
@@ -1,4 +1,4 @@
-package http
+package http1
 
 import (
 	"bufio"
@@ -7,12 +7,12 @@
 	"net/http"
 	"strings"
 	"testing"
-
-	"saltmast/internal/keep"
 )
 
-func read(text string) (*request, *badRequest) {
-	return readHead(bufio.NewReaderSize(strings.NewReader(text), 16))
+var limits = Limits{Head: 12 << 10, Body: 32 << 20}
+
+func read(text string) (*Request, *Bad) {
+	return ReadRequest(bufio.NewReaderSize(strings.NewReader(text), 16), limits)
 }
 
 func TestHeads(t *testing.T) {
@@ -56,20 +56,20 @@
 		{"POST / HTTP/1.1\r\n" + host + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400},
 		{"POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked, chunked\r\n\r\n", 501},
 		{"POST / HTTP/1.1\r\n" + host + "Expect: x\r\n\r\n", 417},
-		{"GET / HTTP/1.1\r\n" + host + strings.Repeat("A: b\r\n", maxHead), 431},
+		{"GET / HTTP/1.1\r\n" + host + strings.Repeat("A: b\r\n", limits.Head), 431},
 	} {
 		r, bad := read(tt.text)
 		switch {
 		case tt.status == 0 && bad != nil:
 			t.Errorf("%.60q: %+v", tt.text, bad)
-		case tt.status != 0 && (bad == nil || bad.status != tt.status || r != nil):
+		case tt.status != 0 && (bad == nil || bad.Status != tt.status || r != nil):
 			t.Errorf("%.60q: %+v, want %d", tt.text, bad, tt.status)
 		}
 	}
-	if _, bad := read("GET / HTTP/1.1\r\nHost: h\r\n"); bad == nil || !bad.gone {
+	if _, bad := read("GET / HTTP/1.1\r\nHost: h\r\n"); bad == nil || !bad.Gone {
 		t.Errorf("half a head: %+v", bad)
 	}
-	if r, bad := read("GET http://Host.x/A%20b?c=/ HTTP/1.1\r\nHost: y\r\nconnection: x , CLOSE\r\n\r\n"); bad != nil || r.host != "Host.x" || r.target != "/A%20b?c=/" || r.path != "/A b" || !r.last {
+	if r, bad := read("GET http://Host.x/A%20b?c=/ HTTP/1.1\r\nHost: y\r\nconnection: x , CLOSE\r\n\r\n"); bad != nil || r.Host != "Host.x" || r.Target != "/A%20b?c=/" || r.Path != "/A b" || !r.Last {
 		t.Errorf("%+v %+v", r, bad)
 	}
 }
@@ -80,7 +80,7 @@
 	f.Add([]byte("POST http://h/a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nExpect: 100-continue\r\n\r\n3;x=y\r\nabc\r\n0\r\nT: u\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		in := bufio.NewReaderSize(bytes.NewReader(raw), 16)
-		r, bad := readHead(in)
+		r, bad := ReadRequest(in, limits)
 		if bad != nil {
 			return
 		}
@@ -89,20 +89,16 @@
 			return // it is stricter there
 		}
 		length := other.ContentLength
-		if r.length != length || r.method != other.Method {
-			t.Fatalf("%d bytes of %s here, %d of %s there", r.length, r.method, length, other.Method)
-		}
-		c := &conn{in: in}
-		s := &source{c: c, left: r.length, in: in}
-		if r.length == chunked {
-			s = (&conn{in: in}).source(chunked)
+		if r.Length != length || r.Method != other.Method {
+			t.Fatalf("%d bytes of %s here, %d of %s there", r.Length, r.Method, length, other.Method)
 		}
-		got, err := io.ReadAll(io.LimitReader(s, keep.Most))
+		s := NewBody(in, r.Length, limits)
+		got, err := io.ReadAll(io.LimitReader(s, limits.Body))
 		want, otherErr := io.ReadAll(other.Body)
 		if err == nil && otherErr == nil && !bytes.Equal(got, want) {
 			t.Fatalf("%q here, %q there", got, want)
 		}
-		if err == nil && !s.whole() {
+		if err == nil && !s.Whole() {
 			t.Fatal("an end that is none")
 		}
 	})
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -8,12 +8,11 @@
 	"net"
 	"net/http"
 	"net/textproto"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"saltmast"
+	"saltmast/internal/http1"
 	"saltmast/internal/keep"
 	"saltmast/internal/thrift"
 )
@@ -137,7 +136,7 @@
 func (a *answerReader) readHTTP() (reply, bool) {
 	for range maxEarly + 1 {
 		a.left, a.begun = maxHead, a.in.Buffered() > 0
-		status, header, last, err := readHead(a.in)
+		status, header, last, err := http1.ReadAnswer(a.in)
 		if err != nil {
 			return a.failed(err), false
 		}
@@ -145,7 +144,7 @@
 			a.deadline(a.cut) // the real one may take its time
 			continue
 		}
-		length, err := bodyLength(status, header, last)
+		length, err := http1.AnswerLength(status, header, keep.Most)
 		if err != nil {
 			return a.failed(err), false
 		}
@@ -156,7 +155,7 @@
 		if err != nil {
 			return a.failed(err), false
 		}
-		return reply{status: status, header: header, body: body, stream: stream}, !last && length != untilClose
+		return reply{status: status, header: header, body: body, stream: stream}, !last && length != http1.UntilClose
 	}
 	return a.failed(errors.New("no end of early answers")), false
 }
@@ -170,66 +169,6 @@
 	return reply{err: fmt.Errorf("%w: %w", errMalformed, err)}
 }
 
-// readHead reads the head of an answer. last: nothing may follow it on the connection.
-func readHead(in *bufio.Reader) (status int, header textproto.MIMEHeader, last bool, err error) {
-	const start = "HTTP/1."
-	for i := range len(start) { // noise may end anywhere: what begins wrong is not waited for
-		b, err := in.Peek(i + 1)
-		if err != nil {
-			return 0, nil, false, err
-		}
-		if b[i] != start[i] {
-			return 0, nil, false, errors.New("no HTTP/1")
-		}
-	}
-	r := textproto.NewReader(in)
-	line, err := r.ReadLine()
-	if err != nil {
-		return 0, nil, false, err
-	}
-	proto, rest, _ := strings.Cut(line, " ")
-	code, _, _ := strings.Cut(rest, " ")
-	status, err = strconv.Atoi(code)
-	if err != nil || len(code) != 3 || status < 100 || len(proto) != len(start)+1 {
-		return 0, nil, false, fmt.Errorf("status line %.40q", line)
-	}
-	header, err = r.ReadMIMEHeader()
-	if err != nil {
-		return 0, nil, false, err
-	}
-	last = proto != "HTTP/1.1" || strings.EqualFold(header.Get("Connection"), "close")
-	return status, header, last, nil
-}
-
-// chunked is the length of a body that comes in chunks.
-const chunked = -1
-
-// bodyLength reads the framing off a head. Two lengths, or a length beside an encoding, say nothing certain about where the
-// body ends, and one that is too long is not waited for. With neither it ends with its connection.
-func bodyLength(status int, h textproto.MIMEHeader, last bool) (int, error) {
-	lengths, encodings := h["Content-Length"], h["Transfer-Encoding"]
-	switch {
-	case status < 200:
-		return 0, fmt.Errorf("status %d", status)
-	case status == http.StatusNoContent || status == http.StatusNotModified:
-		return 0, nil
-	case len(lengths)+len(encodings) == 0:
-		return untilClose, nil
-	case len(lengths)+len(encodings) != 1:
-		return 0, errors.New("framed twice")
-	case len(encodings) == 1:
-		if !strings.EqualFold(encodings[0], "chunked") {
-			return 0, fmt.Errorf("encoding %.40q", encodings[0])
-		}
-		return chunked, nil
-	}
-	n, err := strconv.ParseUint(lengths[0], 10, 31)
-	if err != nil || n > keep.Most {
-		return 0, fmt.Errorf("length %.40q", lengths[0])
-	}
-	return int(n), nil
-}
-
 func isTimeout(err error) bool {
 	var ne net.Error
 	return errors.As(err, &ne) && ne.Timeout()
--- a/internal/upstream/pass.go
+++ b/internal/upstream/pass.go
@@ -1,20 +1,18 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
-	"net/http/httputil"
-	"net/textproto"
 	"strconv"
 	"sync"
 	"time"
 
 	"saltmast"
 	"saltmast/internal/core"
+	"saltmast/internal/http1"
 	"saltmast/internal/keep"
 	"saltmast/internal/sock"
 )
@@ -26,8 +24,6 @@
 	passBytes = 16 << 10
 	// early is how long an answer of untold length may have been coming, in bytes that fit memory, before it goes on.
 	early = 250 * time.Millisecond
-	// untilClose is the length of an answer that ends with its connection.
-	untilClose = -2
 )
 
 // errClient marks a body that its client did not bring to its end. Its backend is not to blame.
@@ -217,75 +213,17 @@
 	return nil
 }
 
-// body is an answer's body as it is framed.
-func (a *answerReader) body(length int) io.Reader {
-	switch length {
-	case chunked:
-		return &chunks{in: a.in, body: httputil.NewChunkedReader(a.in)}
-	case untilClose:
-		return a.in
-	}
-	return &exactly{in: a.in, left: int64(length)}
-}
-
-// exactly reads so many bytes: an end before is an error.
-type exactly struct {
-	in   io.Reader
-	left int64
-}
-
-func (e *exactly) Read(p []byte) (int, error) {
-	if e.left == 0 {
-		return 0, io.EOF
-	}
-	n, err := e.in.Read(p[:min(int64(len(p)), e.left)])
-	if e.left -= int64(n); err == io.EOF && e.left > 0 {
-		err = io.ErrUnexpectedEOF
-	} else if err == io.EOF {
-		err = nil
-	}
-	return n, err
-}
-
-// chunks reads a body in chunks and the trailer behind it.
-type chunks struct {
-	in   *bufio.Reader
-	body io.Reader
-	over bool
-}
-
-func (c *chunks) Read(p []byte) (int, error) {
-	if c.over {
-		return 0, io.EOF
-	}
-	n, err := c.body.Read(p)
-	if err == io.EOF {
-		if _, err := textproto.NewReader(c.in).ReadMIMEHeader(); err != nil {
-			if err == io.EOF {
-				err = io.ErrUnexpectedEOF
-			}
-			return n, err
-		}
-		c.over = true
-		if n > 0 {
-			err = nil
-		}
-		return n, err
-	}
-	return n, err
-}
-
 // readBody reads an answer whole, or begins to pass it on where it is long, or its length is not told and it turns out to be
 // long or slow.
-func (a *answerReader) readBody(length int) ([]byte, *Stream, error) {
+func (a *answerReader) readBody(length int64) ([]byte, *Stream, error) {
 	a.left = maxWire
-	body := a.body(length)
+	body := http1.AnswerBody(a.in, length)
 	if length >= 0 && length <= MaxBody {
 		out := make([]byte, length)
 		_, err := io.ReadFull(body, out)
 		return out, nil, err
 	}
-	s := &Stream{Length: int64(length), body: body, a: a}
+	s := &Stream{Length: length, body: body, a: a}
 	if length < 0 {
 		s.Length = -1
 		begun := time.Now()
@@ -314,8 +252,8 @@
 }
 
 // verdictless answers that are too long to be read are told by their status alone.
-func tooLong(status, length int) bool {
-	return status != 200 && (length > MaxBody || length == untilClose)
+func tooLong(status int, length int64) bool {
+	return status != 200 && (length > MaxBody || length == http1.UntilClose)
 }
 
 // outcomeOf is result for a request whose body passed.
