The pool of connections is a package of its own

Need: the proxy keeps connections to its backends by the same rules: looked at before use, closed before the other side does, within a limit. Change: internal/links has it, moved and exported. Control sets options on sockets at the dial, Now is the clock. Tests of attempts that reached into the pool go by what it exports.

--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -90,7 +90,7 @@
 		return res, reply{at: time.Now(), err: err}
 	}
 	if _, ok := b.table.Serving(backend); !ok { // it was taken out or began to drain during the dial
-		b.pool.release(c)
+		b.pool.Release(c)
 		return saltmast.ConnectFailed, reply{at: time.Now()}
 	}
 	if b.Ping != "" {
--- a/internal/upstream/record.go
+++ b/internal/upstream/record.go
@@ -7,6 +7,7 @@
 
 	"saltmast"
 	"saltmast/internal/core"
+	"saltmast/internal/links"
 	"saltmast/internal/settles"
 	"saltmast/internal/sock"
 )
@@ -19,7 +20,7 @@
 
 // recorded is exchange for a request that must not run twice: its intent is on disk before the first byte leaves. The wait
 // for that is the request's own; while it lasts everything may have changed, so all is looked at once more.
-func (b *Backends) recorded(ctx context.Context, c *conn, q *core.Call, backend string, cut time.Time) (saltmast.Result, reply) {
+func (b *Backends) recorded(ctx context.Context, c *links.Conn, q *core.Call, backend string, cut time.Time) (saltmast.Result, reply) {
 	b.recording.Add(1)
 	defer b.recording.Done()
 	wait, cancel := context.WithDeadline(ctx, cut)
@@ -28,7 +29,7 @@
 	ticket, err := b.Journal.Intent(wait, settles.Intent{Request: q.ID, Attempt: int(rec.Attempts.Add(1)) - 1, Class: rec.Class, Account: rec.Account,
 		Key: rec.Key, Server: backend, Addr: c.RemoteAddr().String(), At: time.Now(), Digest: rec.Digest})
 	if err != nil {
-		b.pool.release(c)
+		b.pool.Release(c)
 		late := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
 		return saltmast.NotSent, reply{at: time.Now(), err: err, unrecorded: !late}
 	}
@@ -44,13 +45,13 @@
 	return res, r
 }
 
-func (b *Backends) afterIntent(ctx context.Context, c *conn, q *core.Call, backend string, cut time.Time) (saltmast.Result, reply) {
+func (b *Backends) afterIntent(ctx context.Context, c *links.Conn, q *core.Call, backend string, cut time.Time) (saltmast.Result, reply) {
 	if res, ok := b.mayGo(ctx, q, backend, cut); !ok {
-		b.pool.release(c)
+		b.pool.Release(c)
 		return res, reply{at: time.Now()}
 	}
 	if quiet, _ := sock.Look(c.Conn); !quiet { // it ended meanwhile, or something came that answers nothing
-		b.pool.close(c)
+		b.pool.Close(c)
 		return saltmast.ConnectFailed, reply{at: time.Now()}
 	}
 	return b.exchange(ctx, c, q, codecOf(q.Payload), cut)
--- a/internal/upstream/thrift_conns_test.go
+++ b/internal/upstream/thrift_conns_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -69,7 +68,7 @@
 					t.Errorf("result %d (%v), want ConnectFailed", res, r.err)
 				}
 				receive(t, held).Close()
-				if n := b.pool.count(); n != 0 {
+				if n := b.pool.Open(); n != 0 {
 					t.Errorf("%d connections are kept with half a call on them", n)
 				}
 			})
@@ -114,13 +113,10 @@
 					if res, r := b.try(call(), long); res != saltmast.OK {
 						t.Fatalf("result %d (%v)", res, r.err)
 					}
+					c := b.pool.Take("s0")
 					more <- struct{}{}
-					until(t, "the end or the bytes", func() bool {
-						b.pool.mu.Lock()
-						defer b.pool.mu.Unlock()
-						quiet, _ := sock.Look(b.pool.groups["s0"].idle[0].Conn)
-						return !quiet
-					})
+					until(t, "the end or the bytes", func() bool { quiet, _ := sock.Look(c.Conn); return !quiet })
+					b.pool.Release(c)
 				}
 			})
 		})
@@ -144,11 +140,11 @@
 			eachProtocol(t, func(t *testing.T, call func() *core.Call) {
 				p := rig.NewThriftPeer(t, reply200)
 				b, q := newBackends(t, p.Addr()), call()
-				b.pool.dialer.Control = func(_, _ string, _ syscall.RawConn) error { tt.event(b, q); return nil }
+				b.pool.Control = func(uintptr) error { tt.event(b, q); return nil }
 				if res, _ := b.try(q, long); res != tt.want {
 					t.Errorf("result %d, want %d", res, tt.want)
 				}
-				b.pool.closeIdle("s0")
+				b.pool.CloseIdle("s0")
 				receive(t, p.Closed)
 				if len(p.Got) != 0 {
 					t.Error("the server got a call")
@@ -186,7 +182,7 @@
 		remain int
 	}{
 		{"silence", true, 0, saltmast.TimedOut, 0},
-		{"a break in full use", false, 0, saltmast.Reset, 1},
+		{"a break in full use", false, -time.Second, saltmast.Reset, 1},
 		{"a break after a rest", false, time.Minute, saltmast.Reset, 0},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -205,13 +201,10 @@
 					}
 				})
 				b := newBackends(t, p.Addr())
+				b.pool.Retune(time.Hour, long)
+				now := clock(b, -tt.rest)
 				twoKept(t, b, p, gate, call)
-				b.pool.maxIdle = time.Hour
-				b.pool.mu.Lock()
-				for i, c := range b.pool.groups["s0"].idle {
-					c.since = time.Now().Add(-tt.rest - time.Duration(1-i)*time.Microsecond)
-				}
-				b.pool.mu.Unlock()
+				now()
 				trouble <- tt.silent
 				wait := long
 				if tt.silent {
@@ -220,7 +213,7 @@
 				if res, _ := b.try(call(), wait); res != tt.want {
 					t.Fatalf("result %d, want %d", res, tt.want)
 				}
-				if n := b.pool.count(); n != tt.remain {
+				if n := b.pool.Open(); n != tt.remain {
 					t.Errorf("%d connections are left, want %d", n, tt.remain)
 				}
 			})
@@ -253,7 +246,7 @@
 	eachProtocol(t, func(t *testing.T, call func() *core.Call) {
 		p, q := rig.NewThriftPeer(t, reply200), rig.NewThriftPeer(t, reply200)
 		b := newBackends(t, p.Addr(), q.Addr())
-		b.pool.limit = 1
+		b.pool.SetLimit(1)
 		if res, _ := b.try(call(), long); res != saltmast.OK {
 			t.Fatal("not served")
 		}
@@ -261,10 +254,10 @@
 			t.Errorf("result %d, want OK in place of the idle connection", res)
 		}
 		receive(t, p.Closed)
-		c := b.pool.take("s1")
+		c := b.pool.Take("s1")
 		if res, _ := b.try(call(), long); res != saltmast.ConnectFailed {
 			t.Errorf("result %d, want ConnectFailed at the limit", res)
 		}
-		b.pool.close(c)
+		b.pool.Close(c)
 	})
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -14,6 +14,7 @@
 	"saltmast"
 	"saltmast/internal/core"
 	"saltmast/internal/discovery"
+	"saltmast/internal/links"
 	"saltmast/internal/settles"
 	settleslog "saltmast/internal/settles/log"
 	"saltmast/internal/thrift"
@@ -21,7 +22,7 @@
 
 // Backends carries out attempts and probes. Each ends with exactly one outcome.
 type Backends struct {
-	pool  *pool
+	pool  *links.Pool
 	table *discovery.Members
 	terms atomic.Pointer[terms]
 	log   *slog.Logger
@@ -45,7 +46,7 @@
 // Retune has the attempts and probes to come made by other settings.
 func (b *Backends) Retune(s *saltmast.Settings) {
 	b.terms.Store(&terms{reports: s.Reports, probing: 2 * s.ConnectTimeout, stall: max(2*s.ConnectTimeout, 100*time.Millisecond)})
-	b.pool.retune(s.IdleClose*3/4, s.ConnectTimeout)
+	b.pool.Retune(s.IdleClose*3/4, s.ConnectTimeout)
 }
 
 // Journal is where attempts are recorded.
@@ -78,33 +79,25 @@
 
 // New returns the backends of a list. connections bounds those that are open; 0: no bound.
 func New(s saltmast.Settings, table *discovery.Members, connections int, log *slog.Logger) *Backends {
-	b := &Backends{pool: newPool(s.IdleClose*3/4, s.ConnectTimeout, connections), table: table, log: log}
+	b := &Backends{pool: links.New(s.IdleClose*3/4, s.ConnectTimeout, connections), table: table, log: log}
 	b.Retune(&s)
 	return b
 }
 
 // Retire ends the use of all connections to a backend that drains, is gone or was started again.
-func (b *Backends) Retire(backend string) { b.pool.retire(backend) }
+func (b *Backends) Retire(backend string) { b.pool.Retire(backend) }
 
 // SetLimit bounds the connections that are open from now on; 0: no bound. Beyond it idle ones close.
-func (b *Backends) SetLimit(connections int) { b.pool.setLimit(connections) }
+func (b *Backends) SetLimit(connections int) { b.pool.SetLimit(connections) }
 
 // Lent is how many connections bring long answers that go on to clients: they count among the clients' own.
-func (b *Backends) Lent() int {
-	b.pool.mu.Lock()
-	defer b.pool.mu.Unlock()
-	return b.pool.lent
-}
+func (b *Backends) Lent() int { return b.pool.Lent() }
 
 // Open is how many other connections are open.
-func (b *Backends) Open() int {
-	b.pool.mu.Lock()
-	defer b.pool.mu.Unlock()
-	return b.pool.open
-}
+func (b *Backends) Open() int { return b.pool.Open() }
 
 // CloseIdle closes the idle connections to a backend.
-func (b *Backends) CloseIdle(backend string) { b.pool.closeIdle(backend) }
+func (b *Backends) CloseIdle(backend string) { b.pool.CloseIdle(backend) }
 
 // Attempt implements core.Upstream.
 func (b *Backends) Attempt(ctx context.Context, q *core.Call, backend string, cut time.Time) core.Reply {
@@ -137,7 +130,7 @@
 	// The dial took time: the request may have ended, or the backend begun to drain, meanwhile.
 	// From here to the first byte nothing waits.
 	if res, ok := b.mayGo(ctx, q, backend, cut); !ok {
-		b.pool.release(c)
+		b.pool.Release(c)
 		return res, reply{at: time.Now()}
 	}
 	if q.Record != nil && b.Journal != nil {
@@ -155,15 +148,15 @@
 }
 
 // connect gives a connection to a backend, or the result if there is none to be had.
-func (b *Backends) connect(ctx context.Context, backend string, cut time.Time) (*conn, saltmast.Result, error) {
+func (b *Backends) connect(ctx context.Context, backend string, cut time.Time) (*links.Conn, saltmast.Result, error) {
 	addr, ok := b.table.Serving(backend)
 	if !ok { // it began to drain since it was chosen: there is no connection for this, and another may serve it
 		return nil, saltmast.ConnectFailed, nil
 	}
-	if c := b.pool.take(backend); c != nil {
+	if c := b.pool.Take(backend); c != nil {
 		return c, 0, nil
 	}
-	c, err := b.pool.dial(ctx, backend, addr, cut)
+	c, err := b.pool.Dial(ctx, backend, addr, cut)
 	switch {
 	case err == nil:
 		return c, 0, nil
@@ -171,7 +164,7 @@
 		return nil, saltmast.Cancelled, err
 	}
 	if isTimeout(err) {
-		b.pool.closeIdle(backend) // the machine says nothing: those that it has are no better
+		b.pool.CloseIdle(backend) // the machine says nothing: those that it has are no better
 	}
 	return nil, saltmast.ConnectFailed, err
 }
@@ -180,19 +173,19 @@
 const staleAfter = 100 * time.Millisecond
 
 // exchange sends a request on c and reads the outcome off what comes back, by the protocol's table.
-func (b *Backends) exchange(ctx context.Context, c *conn, q *core.Call, m codec, cut time.Time) (saltmast.Result, reply) {
+func (b *Backends) exchange(ctx context.Context, c *links.Conn, q *core.Call, m codec, cut time.Time) (saltmast.Result, reply) {
 	var raw []byte
 	h, passes := m.(*HTTP)
 	if passes = passes && h.Coming != nil; !passes {
 		var err error
 		if raw, err = m.encode(q.ID, time.Until(cut)); err != nil { // before any byte: what can't be written can't have run
-			b.pool.release(c)
+			b.pool.Release(c)
 			return saltmast.NotSent, reply{at: time.Now(), err: err}
 		}
 	}
 	var idle time.Duration
-	if !c.since.IsZero() {
-		idle = time.Since(c.since)
+	if !c.Since().IsZero() {
+		idle = time.Since(c.Since())
 	}
 	var r reply
 	var written, again bool
@@ -204,16 +197,16 @@
 	}
 	release := func(again bool) {
 		if again {
-			b.pool.release(c)
+			b.pool.Release(c)
 		} else {
-			b.pool.close(c)
+			b.pool.Close(c)
 		}
 	}
 	if s := r.stream; s != nil { // its connection is its own until it has gone on
-		b.pool.lend()
+		b.pool.Lend()
 		s.free = func(whole bool) {
 			good := s.a.release() && whole && again
-			b.pool.settle()
+			b.pool.Settle()
 			release(good)
 		}
 	} else {
@@ -228,17 +221,17 @@
 	case res == saltmast.TimedOut:
 		// Idle connections to a machine that vanished would swallow requests that may not be sent
 		// again; a new one fails fast, with proof.
-		b.pool.closeIdle(c.group.backend)
+		b.pool.CloseIdle(c.Key())
 	case (res == saltmast.Reset || res == saltmast.ConnectFailed) && idle > staleAfter:
 		// It broke at the first request after a rest. Whatever ended it meanwhile, be it a middlebox or a
 		// machine that was away, has ended those that have rested for longer too. One that broke in full
 		// use says nothing of the others: closing them costs a handshake each, which the backend pays.
-		b.pool.closeIdleSince(c.group.backend, c.since)
+		b.pool.CloseIdleSince(c.Key(), c.Since())
 	}
 	if errors.Is(r.err, errMalformed) {
-		b.log.Warn("malformed answer", "backend", c.group.backend, "why", r.err)
+		b.log.Warn("malformed answer", "backend", c.Key(), "why", r.err)
 	} else if r.err == nil && r.odd != "" {
-		b.log.Warn("unexpected answer", "backend", c.group.backend, "answer", r.odd)
+		b.log.Warn("unexpected answer", "backend", c.Key(), "answer", r.odd)
 	}
 	return res, r
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -16,6 +16,7 @@
 	"saltmast/internal/core"
 	"saltmast/internal/discovery"
 	"saltmast/internal/keep"
+	"saltmast/internal/links"
 	"saltmast/internal/sock"
 )
 
@@ -28,7 +29,7 @@
 	}
 	table := discovery.NewMembers()
 	table.Apply(l)
-	b := &Backends{pool: newPool(time.Minute, long, 0), table: table, log: logTo(&capture{})}
+	b := &Backends{pool: links.New(time.Minute, long, 0), table: table, log: logTo(&capture{})}
 	b.terms.Store(&terms{probing: long, stall: time.Second})
 	return b
 }
@@ -154,7 +155,7 @@
 		t.Skip("this system takes connections without end")
 	}
 	b := newBackends(t, addr)
-	b.pool.dialer.Timeout = 250 * time.Millisecond
+	b.pool.Retune(time.Minute, 250*time.Millisecond)
 	begun := time.Now()
 	res, _ := b.try(settle(), long)
 	if took := time.Since(begun); res != saltmast.ConnectFailed || took > long/2 {
@@ -209,12 +210,10 @@
 	})
 	b := newBackends(t, p.Addr())
 	b.try(settle(), long)
-	until(t, "the end to arrive", func() bool {
-		b.pool.mu.Lock()
-		defer b.pool.mu.Unlock()
-		quiet, _ := sock.Look(b.pool.groups["s0"].idle[0].Conn)
-		return !quiet
-	})
+	if c := b.pool.Take("s0"); c != nil { // nil: it has been noticed already
+		until(t, "the end to arrive", func() bool { quiet, _ := sock.Look(c.Conn); return !quiet })
+		b.pool.Release(c)
+	}
 	if res, _ := b.try(settle(), long); res != saltmast.OK {
 		t.Errorf("result %d, want OK on a new connection", res)
 	}
@@ -224,12 +223,12 @@
 func TestIdleTimeout(t *testing.T) {
 	p := newPeer(t, echo)
 	b := newBackends(t, p.Addr())
-	b.pool.maxIdle = 10 * time.Millisecond
+	b.pool.Retune(10*time.Millisecond, long)
 	if res, _ := b.try(settle(), long); res != saltmast.OK {
 		t.Fatal("not served")
 	}
 	receive(t, p.Closed)
-	until(t, "the pool to forget it", func() bool { return b.pool.count() == 0 })
+	until(t, "the pool to forget it", func() bool { return b.pool.Open() == 0 })
 }
 
 // Guards against sends that are under way when the word of a drain, or the request's end, comes.
@@ -249,11 +248,11 @@
 		t.Run(tt.name, func(t *testing.T) {
 			p := newPeer(t, echo)
 			b, q := newBackends(t, p.Addr()), settle()
-			b.pool.dialer.Control = func(_, _ string, _ syscall.RawConn) error { tt.event(b, q); return nil }
+			b.pool.Control = func(uintptr) error { tt.event(b, q); return nil }
 			if res, _ := b.try(q, long); res != tt.want {
 				t.Errorf("result %d, want %d", res, tt.want)
 			}
-			b.pool.closeIdle("s0")
+			b.pool.CloseIdle("s0")
 			receive(t, p.Closed) // the connection ended, with no request on it
 			if len(p.Got) != 0 {
 				t.Error("the backend got a request")
@@ -292,7 +291,7 @@
 	if res, _ := b.try(settle(), time.Second); res != saltmast.TimedOut {
 		t.Fatalf("result %d, want TimedOut", res)
 	}
-	if n := b.pool.count(); n != 0 {
+	if n := b.pool.Open(); n != 0 {
 		t.Errorf("%d connections are left to a silent backend", n)
 	}
 }
@@ -305,8 +304,8 @@
 		event  func(b *Backends)
 		remain int
 	}{
-		{"another one failed", func(b *Backends) { b.pool.closeIdle("s0") }, 1},
-		{"retired", func(b *Backends) { b.pool.retire("s0") }, 0},
+		{"another one failed", func(b *Backends) { b.pool.CloseIdle("s0") }, 1},
+		{"retired", func(b *Backends) { b.pool.Retire("s0") }, 0},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			gate := make(chan struct{})
@@ -317,8 +316,8 @@
 			receive(t, p.Got)
 			tt.event(b)
 			close(gate)
-			if res := receive(t, done); res != saltmast.OK || b.pool.count() != tt.remain {
-				t.Errorf("result %d, %d connections open, want %d", res, b.pool.count(), tt.remain)
+			if res := receive(t, done); res != saltmast.OK || b.pool.Open() != tt.remain {
+				t.Errorf("result %d, %d connections open, want %d", res, b.pool.Open(), tt.remain)
 			}
 		})
 	}
@@ -347,7 +346,7 @@
 func TestConnectionLimit(t *testing.T) {
 	p, q := newPeer(t, echo), newPeer(t, echo)
 	b := newBackends(t, p.Addr(), q.Addr())
-	b.pool.limit = 1
+	b.pool.SetLimit(1)
 	if res, _ := b.try(settle(), long); res != saltmast.OK {
 		t.Fatal("not served")
 	}
@@ -355,11 +354,11 @@
 		t.Errorf("result %d, want OK in place of the idle connection", res)
 	}
 	receive(t, p.Closed)
-	c := b.pool.take("s1")
+	c := b.pool.Take("s1")
 	if res, _ := b.try(settle(), long); res != saltmast.ConnectFailed {
 		t.Errorf("result %d, want ConnectFailed at the limit", res)
 	}
-	b.pool.close(c)
+	b.pool.Close(c)
 }
 
 // Guards against bytes behind an answer that pass for the answer to the next request: the good answer
@@ -384,30 +383,16 @@
 					t.Fatalf("request %d: result %d, body %q", i, res, r.body)
 				}
 				if late {
+					c := b.pool.Take("s0")
 					more <- struct{}{}
-					until(t, "the extra answer", func() bool {
-						b.pool.mu.Lock()
-						defer b.pool.mu.Unlock()
-						return sock.Pending(b.pool.groups["s0"].idle[0].Conn)
-					})
+					until(t, "the extra answer", func() bool { return sock.Pending(c.Conn) })
+					b.pool.Release(c)
 				}
 			}
 		})
 	}
 }
 
-// Guards against what only grows: nothing is kept of a backend without connections.
-func TestPoolForgets(t *testing.T) {
-	p := newPeer(t, echo)
-	b := newBackends(t, p.Addr())
-	b.try(settle(), long)
-	b.pool.retire("s0")
-	b.pool.retire("s1")
-	if n := len(b.pool.groups); n != 0 || b.pool.count() != 0 {
-		t.Errorf("%d groups and %d connections are left", n, b.pool.count())
-	}
-}
-
 // Guards against load reports that can't be read: each is no report.
 func TestLoadReports(t *testing.T) {
 	for _, text := range []string{"", "inflight=7", "TEXT inflight=NaN", "TEXT inflight=1, queue=+Inf", "TEXT util=-1",
@@ -447,7 +432,7 @@
 		name   string
 		rest   time.Duration
 		remain int
-	}{{"in full use", 0, 1}, {"after a rest", time.Minute, 0}} {
+	}{{"in full use", -time.Second, 1}, {"after a rest", time.Minute, 0}} {
 		t.Run(tt.name, func(t *testing.T) {
 			gate, drop := make(chan struct{}), make(chan bool, 1)
 			p := newPeer(t, func(c net.Conn, r *http.Request, body []byte) bool {
@@ -460,6 +445,8 @@
 				}
 			})
 			b := newBackends(t, p.Addr())
+			b.pool.Retune(time.Hour, long)
+			now := clock(b, -tt.rest)
 			done := make(chan saltmast.Result, 2)
 			for range 2 { // two at a time need two connections
 				go func() { res, _ := b.try(settle(), long); done <- res }()
@@ -472,26 +459,23 @@
 					t.Fatal("not served")
 				}
 			}
-			b.pool.mu.Lock()
-			for i, c := range b.pool.groups["s0"].idle { // the older one first
-				c.since = time.Now().Add(-tt.rest - time.Duration(1-i)*time.Microsecond)
-			}
-			b.pool.mu.Unlock()
-			b.pool.maxIdle = time.Hour
+			now()
 			drop <- true
 			if res, _ := b.try(settle(), long); res != saltmast.Reset {
 				t.Fatalf("result %d, want Reset", res)
 			}
-			if n := b.pool.count(); n != tt.remain {
+			if n := b.pool.Open(); n != tt.remain {
 				t.Errorf("%d connections are left, want %d", n, tt.remain)
 			}
 		})
 	}
 }
 
-// count is the number of connections that are open.
-func (p *pool) count() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.open
+// clock has connections that are given back rest since then, until now is called. A time ahead is full use, however slow the
+// machine.
+func clock(b *Backends, then time.Duration) (now func()) {
+	var off atomic.Int64
+	off.Store(int64(then))
+	b.pool.Now = func() time.Time { return time.Now().Add(time.Duration(off.Load())) }
+	return func() { off.Store(0) }
 }
