Decision module: nine files by concern, on internal/retry; its decisions the same

Change: saltmast.go keeps the constants and the dispatch; picking, retries, order, health, cold start, limits, the list and final answers have files of their own. The module pays by retry.Bucket, waits by retry.Wait, and draws by retry.Race and retry.Least; its choice goes by more than retry.Pick knows and stays. The backoff divides its unit last, so that no nanosecond changes. Bookkeeping that decides nothing (timers, the list of held requests, look-ups) is in state.go. deploy/balancer.toml lists the files; check.sh adds their lines up.

--- a/check.sh
+++ b/check.sh
@@ -27,19 +27,28 @@
 [ -n "$build" ] || { echo "deploy/balancer.toml: no build command" >&2; exit 1; }
 sh -c "$build"
 
-policy=$(sed -n 's/^policy = \["\(.*\)"\]$/\1/p' deploy/balancer.toml)
-[ -s "$policy" ] || { echo "deploy/balancer.toml: policy names no file" >&2; exit 1; }
-lines=$(grep -c '[^[:space:]]' "$policy")
+# The files that decide: what the deploy file lists, together, and each file of internal/retry is listed.
+policy=$(sed -n 's/^policy = \[\(.*\)\]$/\1/p' deploy/balancer.toml | tr -d '" ' | tr ',' '\n')
+[ -n "$policy" ] || { echo "deploy/balancer.toml: policy names no file" >&2; exit 1; }
+lines=0
+for file in $policy; do
+	[ -s "$file" ] || { echo "deploy/balancer.toml: policy: $file is missing or empty" >&2; exit 1; }
+	lines=$((lines + $(grep -c '[^[:space:]]' "$file")))
+	# A tab counts as four columns here, as in most editors.
+	if expand -t 4 "$file" | grep -nE '^.{111,}'; then
+		echo "$file: lines of over 110 columns" >&2
+		exit 1
+	fi
+done
 if [ "$lines" -gt 1200 ]; then
-	echo "$policy: $lines lines that are not blank, 1200 allowed" >&2
-	exit 1
-fi
-# A tab counts as four columns here, as in most editors.
-if expand -t 4 "$policy" | grep -nE '^.{111,}'; then
-	echo "$policy: lines of over 110 columns" >&2
+	echo "the policy files: $lines lines that are not blank, 1200 allowed" >&2
 	exit 1
 fi
-echo "$policy: $lines lines that are not blank"
+for file in internal/retry/*.go; do
+	case $file in *_test.go) continue ;; esac
+	grep -qxF "$file" <<<"$policy" || { echo "deploy/balancer.toml: policy does not name $file" >&2; exit 1; }
+done
+echo "the policy files: $lines lines that are not blank"
 
 # The adapter answers an empty batch; the agent starts, says where it listens, and stops when asked.
 key() { sed -n "s/^$1 = \"\(.*\)\"\$/\1/p" deploy/balancer.toml; }
--- a/retune_test.go
+++ b/retune_test.go
@@ -229,7 +229,7 @@
 		if got != tt.want {
 			t.Errorf("result %d, spent %v: %q, want %q", tt.result, tt.spent, got, tt.want)
 		}
-		if tokens := b.tokens; tt.spent && tokens != bucketCap {
+		if tokens := b.bucket.Tokens(); tt.spent && tokens != bucketCap {
 			t.Errorf("result %d: a token was spent for a retry that can't go out", tt.result)
 		}
 	}
--- a/state.go
+++ b/state.go
@@ -1,11 +1,13 @@
 package saltmast
 
-// The types of a balancer's state; what they are used for is decided in saltmast.go.
+// The types of a balancer's state; what they are used for is decided in the policy files (see saltmast.go).
 
 import (
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"saltmast/internal/retry"
 )
 
 // Balancer decides for one agent. See the package comment for its use.
@@ -28,7 +30,7 @@
 	timers    map[int64]*request
 	token     int64 // last timer token given out
 
-	tokens   float64       // the retry bucket
+	bucket   retry.Bucket  // pays for retries
 	allow    float64       // retries that may begin by what agents share
 	classes  []*classState // of the settings in force
 	inFlight int
@@ -157,6 +159,14 @@
 // isUp reports whether t may get work: by the list, and by the operators.
 func (t *backend) isUp() bool { return t.State == Up && !t.withdrawn }
 
+// size is what the list says of a backend's size, against others; 1 where it says nothing.
+func (t *backend) size() float64 {
+	if t.Weight > 0 {
+		return t.Weight
+	}
+	return 1
+}
+
 // forgetGone forgets the backends that are gone, once none of their attempts is out. Guards against a
 // fleet that is replaced all day under new ids: each one would be kept, and walked in every step.
 func (b *Balancer) forgetGone() {
@@ -168,3 +178,50 @@
 		return over
 	})
 }
+
+// rulesOf are the settings that a request arrived under; nil: they are forgotten.
+func (b *Balancer) rulesOf(generation uint64) *rules {
+	for _, r := range slices.Backward(b.rules) {
+		if r.s.Generation == generation {
+			return r
+		}
+	}
+	return nil
+}
+
+func (b *Balancer) timer(r *request, at time.Duration) {
+	r.timer = b.alarm(at - b.now)
+	b.timers[r.timer] = r
+}
+
+func (b *Balancer) alarm(wait time.Duration) int64 {
+	b.token++
+	b.actions = append(b.actions, SetTimer{After: wait, Token: b.token})
+	return b.token
+}
+
+// hold lets a request wait for room; one that finds some leaves in the same step.
+func (b *Balancer) hold(r *request) {
+	r.holding = true
+	b.held = append(b.held, r)
+}
+
+func (b *Balancer) unhold(r *request) {
+	r.holding = false
+	b.held = slices.DeleteFunc(b.held, func(h *request) bool { return h == r })
+}
+
+func (t *backend) drop(a *attempt) {
+	t.out = slices.DeleteFunc(t.out, func(o *attempt) bool { return o == a })
+}
+
+// count counts the backends of which something is true.
+func (b *Balancer) count(is func(*backend) bool) int {
+	n := 0
+	for _, t := range b.backends {
+		if is(t) {
+			n++
+		}
+	}
+	return n
+}
