--- /dev/null
+++ b/internal/gangway/front.go
@@ -0,0 +1,541 @@
+package gangway
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"saltmast/internal/http1"
+	"saltmast/internal/manifest"
+	"saltmast/internal/plight"
+	"saltmast/internal/sock"
+	"saltmast/internal/tally"
+)
+
+// client is one connection of a client. Its goroutine alone reads and writes it.
+type client struct {
+	net.Conn
+	g    *Gangway
+	in   *bufio.Reader
+	idle atomic.Bool
+}
+
+const (
+	lingerTime = 300 * time.Millisecond
+	firstTime  = 10 * time.Second // a connection that says nothing at all ends
+)
+
+func (g *Gangway) serve(l net.Listener) {
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		c := &client{Conn: nc, g: g}
+		c.idle.Store(true)
+		g.mu.Lock()
+		if g.o.MaxConns > 0 && len(g.conns) >= g.o.MaxConns {
+			g.mu.Unlock()
+			nc.Close()
+			continue
+		}
+		g.conns[c] = true
+		g.mu.Unlock()
+		go func() {
+			c.serve()
+			nc.Close()
+			g.mu.Lock()
+			delete(g.conns, c)
+			g.mu.Unlock()
+		}()
+	}
+}
+
+// closeQuiet closes the connections that rest, unless something has come there, and counts the others.
+func (g *Gangway) closeQuiet() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	left := 0
+	for c := range g.conns {
+		if c.idle.Load() && !sock.Pending(c.Conn) {
+			c.Close()
+			continue
+		}
+		left++
+	}
+	return left
+}
+
+func (c *client) serve() {
+	c.in = getReader(c.Conn)
+	defer func() { putReader(c.in) }()
+	for first := true; ; first = false {
+		limits := manifest.DefaultLimits()
+		if chart := c.g.chart.Load(); chart != nil {
+			limits = chart.Limits()
+		}
+		wait := limits.IdleTimeout
+		if first {
+			wait = max(wait, firstTime)
+		}
+		c.SetReadDeadline(time.Now().Add(wait))
+		if _, err := c.in.Peek(1); err != nil {
+			return
+		}
+		c.idle.Store(false)
+		c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+		r, bad := http1.ReadRequest(c.in, http1.Limits{Head: limits.MaxHeaderBytes, Body: limits.MaxBodyBytes})
+		if bad != nil {
+			if !bad.Gone {
+				c.g.Counts.Bad.Add(1)
+				c.turnAway(bad.Status, bad.Why)
+			}
+			return
+		}
+		if !c.request(r, limits) {
+			return
+		}
+		c.idle.Store(true)
+	}
+}
+
+// request sees one request to its answer, and reports whether the connection goes on.
+func (c *client) request(r *http1.Request, limits manifest.ClientLimits) bool {
+	g := c.g
+	came := time.Now()
+	g.Counts.Requests.Add(1)
+	body, rest, k := c.body(r, limits)
+	if k != plight.OK {
+		if k != plight.Broken {
+			g.Counts.Bad.Add(1)
+			c.turnAway(k.Answer().Status, k.String())
+		}
+		return false
+	}
+	v := &voyage{g: g, r: r, body: body, came: came}
+	if rest != nil {
+		v.rest = rest
+	}
+	a, k := v.sail()
+	c.SetReadDeadline(time.Time{})
+	whole := rest == nil || rest.Whole()
+	last := r.Last || !whole || g.stopping.Load()
+	if a != nil {
+		ok := c.pass(a, r, last)
+		return c.after(ok, last, whole)
+	}
+	if rest != nil && !whole && errors.Is(v.err, errClient) {
+		return false
+	}
+	ok := c.own(k, v, last)
+	return c.after(ok, last, whole)
+}
+
+func (c *client) after(ok, last, whole bool) bool {
+	if ok && last {
+		if !whole || c.in.Buffered() > 0 || sock.Pending(c.Conn) {
+			c.linger()
+		}
+		return false
+	}
+	return ok
+}
+
+// body reads a body, whole where it is small; rest is what goes on as it comes.
+func (c *client) body(r *http1.Request, limits manifest.ClientLimits) (body []byte, rest *http1.Body, k plight.Kind) {
+	if r.Length == 0 {
+		return nil, nil, plight.OK
+	}
+	if r.Expect && c.in.Buffered() == 0 {
+		c.SetWriteDeadline(time.Now().Add(stallTime))
+		if _, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return nil, nil, plight.Broken
+		}
+	}
+	b := http1.NewBody(c.in, r.Length, http1.Limits{Head: limits.MaxHeaderBytes, Body: limits.MaxBodyBytes})
+	c.SetReadDeadline(time.Now().Add(stallTime))
+	length := r.Length
+	if length < 0 {
+		length = pieces
+	}
+	if length > keepBytes {
+		return nil, b, plight.OK
+	}
+	body, whole, err := readSome(b, length)
+	switch {
+	case errors.Is(err, http1.ErrTooLarge):
+		return nil, nil, plight.BodyTooLong
+	case errors.Is(err, http1.ErrBody):
+		return nil, nil, plight.Unreadable
+	case isTimeout(err):
+		return nil, nil, plight.TooSlow
+	case err != nil:
+		return nil, nil, plight.Broken
+	case !whole:
+		return body, b, plight.OK
+	}
+	if length < 0 { // the end of its trailer
+		if _, err := b.Read(make([]byte, 1)); err != io.EOF {
+			return nil, nil, plight.Unreadable
+		}
+	}
+	return body, nil, plight.OK
+}
+
+// own answers by the table of plights.
+func (c *client) own(k plight.Kind, v *voyage, last bool) bool {
+	a := k.Answer()
+	c.g.Counts.ByKind[k].Add(1)
+	switch {
+	case k == plight.NoRoute:
+		c.g.Counts.NoRoute.Add(1)
+	case a.NotRun:
+		c.g.Counts.Refused.Add(1)
+	default:
+		c.g.Counts.Errors.Add(1)
+	}
+	head := "Content-Type: text/plain; charset=utf-8\r\n"
+	if id := v.r.Header.Get(HeaderID); id != "" && plain(id) {
+		head += HeaderID + ": " + id + "\r\n"
+	}
+	if a.Again {
+		head += "Retry-After: " + strconv.FormatFloat(v.comeBack().Seconds(), 'f', 3, 64) + "\r\n"
+	}
+	return c.put(a.Status, head, []byte(a.Text+"\n"), last)
+}
+
+func plain(s string) bool {
+	return len(s) < 256 && !strings.ContainsAny(s, "\r\n\x00")
+}
+
+func (c *client) put(status int, head string, body []byte, last bool) bool {
+	buf := getBuf()
+	msg := http1.AppendHead((*buf)[:0], status, head, int64(len(body)), last)
+	msg = append(msg, body...)
+	c.SetWriteDeadline(time.Now().Add(stallTime))
+	_, err := c.Conn.Write(msg)
+	*buf = msg[:0]
+	putBuf(buf)
+	return err == nil
+}
+
+// pass writes a backend's answer. One that breaks off ends its connection before its end, so that the client sees it.
+func (c *client) pass(a *Answer, r *http1.Request, last bool) bool {
+	length := a.Length
+	if length < 0 {
+		length = http1.Chunked
+	}
+	if a.Status == 204 || a.Status == 304 || r.Method == http.MethodHead {
+		length = http1.UntilClose
+	}
+	buf := getBuf()
+	msg := appendAnswer((*buf)[:0], a, length, last)
+	if a.Rest == nil {
+		msg = append(msg, a.Body...)
+	} else {
+		msg = appendChunk(msg, a.Body, length)
+	}
+	c.SetWriteDeadline(time.Now().Add(stallTime))
+	_, err := c.Conn.Write(msg)
+	*buf = msg[:0]
+	putBuf(buf)
+	if a.Rest == nil {
+		return err == nil
+	}
+	whole := false
+	defer func() { a.Close(whole) }()
+	if err != nil {
+		return false
+	}
+	b := make([]byte, pieceBytes)
+	for {
+		n, err := a.Rest.Read(b)
+		if n > 0 {
+			c.SetWriteDeadline(time.Now().Add(stallTime))
+			p := b[:n]
+			if length < 0 {
+				p = appendChunk(make([]byte, 0, n+16), p, length)
+			}
+			if _, werr := c.Conn.Write(p); werr != nil {
+				return false
+			}
+		}
+		if err == io.EOF {
+			whole = true
+			if length < 0 {
+				_, err := io.WriteString(c.Conn, "0\r\n\r\n")
+				return err == nil
+			}
+			return true
+		}
+		if err != nil {
+			return false
+		}
+	}
+}
+
+func appendAnswer(buf []byte, a *Answer, length int64, last bool) []byte {
+	var head []byte
+	for _, f := range a.Header {
+		head = append(head, f.Name...)
+		head = append(head, ": "...)
+		head = append(head, f.Value...)
+		head = append(head, "\r\n"...)
+	}
+	return http1.AppendHead(buf, a.Status, string(head), length, last)
+}
+
+func appendChunk(buf, p []byte, length int64) []byte {
+	if length >= 0 {
+		return append(buf, p...)
+	}
+	buf = strconv.AppendInt(buf, int64(len(p)), 16)
+	buf = append(buf, "\r\n"...)
+	buf = append(buf, p...)
+	return append(buf, "\r\n"...)
+}
+
+// turnAway answers what can't be taken and ends its connection: what follows can't be trusted.
+func (c *client) turnAway(status int, why string) {
+	c.put(status, "Content-Type: text/plain; charset=utf-8\r\n", []byte(why+"\n"), true)
+	c.linger()
+}
+
+// linger ends the sending and reads on for a while: a connection that closes with bytes unread is reset.
+func (c *client) linger() {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		t.CloseWrite()
+	}
+	c.SetReadDeadline(time.Now().Add(lingerTime))
+	io.Copy(io.Discard, struct{ io.Reader }{c.Conn})
+}
+
+// voyage is one request on its way.
+type voyage struct {
+	g     *Gangway
+	r     *http1.Request
+	body  []byte
+	rest  io.Reader // what follows body, once
+	came  time.Time
+	route *manifest.Route
+	err   error
+	cut   time.Time // nobody waits beyond
+	spent bool      // some of rest was read
+
+	key   string
+	claim tally.ID
+}
+
+// comeBack is when a client should come back with what was refused: soon, but not all at once.
+func (v *voyage) comeBack() time.Duration {
+	aim := 400 * time.Millisecond
+	if v.route != nil {
+		aim = v.route.Target
+	}
+	spread := time.Duration(v.came.UnixNano() % int64(aim/16+1))
+	return max(10*time.Millisecond, aim/10+spread)
+}
+
+// Own headers are set by the mesh, whatever was sent.
+func ownHeader(name string) bool {
+	return name == HeaderTarget || name == HeaderLeft || name == HeaderCaller || name == "Expect"
+}
+
+// sail sees a request to an answer of a backend, or to the kind of what went wrong.
+func (v *voyage) sail() (*Answer, plight.Kind) {
+	chart := v.g.chart.Load()
+	if chart == nil {
+		return nil, plight.NotReady
+	}
+	path, _, _ := strings.Cut(v.r.Target, "?")
+	if v.route = chart.Route(v.r.Host, path); v.route == nil {
+		return nil, plight.NoRoute
+	}
+	left := v.route.Deadline
+	if s := v.r.Header.Get(HeaderLeft); s != "" {
+		ms, err := strconv.ParseFloat(s, 64)
+		if err != nil || !(ms >= 0 && ms < 1e9) {
+			return nil, plight.Unreadable
+		}
+		left = min(left, time.Duration(ms*float64(time.Millisecond)))
+	}
+	v.cut = v.came.Add(left)
+	if time.Until(v.cut) <= 0 {
+		return nil, plight.Overdue
+	}
+	if v.route.Kind == manifest.Deduplicated {
+		return v.once()
+	}
+	a, k, _ := v.attempts()
+	return a, k
+}
+
+// ask is the head of the request as it goes on.
+func (v *voyage) ask() *ask {
+	a := &ask{Kind: run, Method: v.r.Method, Target: v.r.Target, Length: int64(len(v.body)), Rank: v.route.Priority,
+		Once: !v.route.Kind.Repeatable(), ID: v.r.Header.Get(HeaderID), Key: v.key, Claim: v.claim}
+	if v.rest != nil {
+		a.Length = v.r.Length
+		if a.Length < 0 {
+			a.Length = pieces
+		}
+	}
+	a.Header = make([]Field, 0, len(v.r.Header)+1)
+	for name, values := range v.r.Header {
+		if ownHeader(name) || dropped(name, v.r.Header) {
+			continue
+		}
+		if name == "Host" {
+			values = []string{v.r.Host}
+		}
+		for _, x := range values {
+			a.Header = append(a.Header, Field{Name: name, Value: x})
+		}
+	}
+	a.Header = append(a.Header, Field{Name: HeaderCaller, Value: v.g.o.Service})
+	return a
+}
+
+// attempts makes the attempts of a request. where is the proxy that had the last one which may have run.
+func (v *voyage) attempts() (answer *Answer, k plight.Kind, where string) {
+	g := v.g
+	a := v.ask()
+	var service, failed string
+	var c choice
+	sent := 0        // attempts that may have reached a backend
+	k = plight.Full  // of the last attempt
+	ran := plight.OK // of the last attempt that may have run; OK: none
+	var last *Answer // a backend's own failure, if that is all there is
+	first := time.Now()
+	for retries := 0; ; retries++ {
+		g.helm.Ask(func(h *Helm) {
+			now := g.now()
+			if retries == 0 {
+				service = h.Service(v.route)
+				h.First(now, service)
+			}
+			c = h.Pick(now, service, failed)
+		})
+		if !c.ok {
+			k = plight.NoBackend
+			break
+		}
+		left := time.Until(v.cut)
+		if left <= time.Millisecond {
+			k = plight.Overdue
+			break
+		}
+		a.Instance, a.Service = c.instance, c.service
+		a.Left = uint32(left.Milliseconds())
+		a.Hold = uint32(v.hold(first).Milliseconds())
+		g.Counts.Attempts.Add(1)
+		o := v.attempt(c, a)
+		at := c
+		g.helm.Send(func(h *Helm) { h.Over(g.now(), at, &o) })
+		v.err = o.err
+		if o.Sent {
+			sent++
+		}
+		k = o.Plight
+		if k == plight.OK {
+			if o.answer.Status < 500 || !v.route.Kind.Repeatable() {
+				g.Counts.Served.Add(1)
+				return o.answer, k, c.addr
+			}
+			last.Close(false)
+			last, ran = o.answer, plight.Failed
+			k = plight.Failed
+		} else if !k.NotRun() {
+			ran, where = k, c.addr
+			if !v.route.Kind.Repeatable() {
+				break
+			}
+		} else if k == plight.Full {
+			g.Counts.HopFull.Add(1)
+		}
+		if v.spent || sent >= max(1, v.route.MaxAttempts) {
+			break
+		}
+		failed = c.node
+		var wait time.Duration
+		again := false
+		g.helm.Ask(func(h *Helm) {
+			wait, again = h.Again(g.now(), v.route, service, retries, k, sent > 0, time.Until(v.cut))
+		})
+		if !again {
+			break
+		}
+		g.Counts.Retries.Add(1)
+		if wait > 0 {
+			time.Sleep(wait)
+		}
+	}
+	if last != nil {
+		return last, plight.OK, where
+	}
+	if ran != plight.OK {
+		return nil, ran, where
+	}
+	return nil, k, where
+}
+
+const (
+	holdPart  = 0.25 // of the target: so long a request may wait for places, over all attempts
+	tryPart   = 0.15 // and at one backend
+	holdLeast = 2 * time.Millisecond
+)
+
+// hold is how long the next attempt may wait for a place at its backend.
+func (v *voyage) hold(first time.Time) time.Duration {
+	all := time.Duration(holdPart*float64(v.route.Target)) - time.Since(first)
+	return max(holdLeast, min(all, time.Duration(tryPart*float64(v.route.Target))))
+}
+
+// attempt makes one attempt.
+func (v *voyage) attempt(c choice, a *ask) outcome {
+	var stream io.Reader
+	body := v.body
+	if v.rest != nil {
+		stream = &once{r: v.rest, first: v.body, spent: &v.spent}
+		body = nil
+	}
+	if c.addr == v.g.o.GateAddr {
+		b := *a
+		return v.g.Gate.run(&b, body, stream)
+	}
+	cut := v.cut.Add(hopLate)
+	if stream != nil { // its time begins anew where it is long: the client sends it as it can
+		cut = cut.Add(time.Minute)
+	}
+	return v.g.hops.do(c.addr, a, body, stream, cut)
+}
+
+// hopLate is how much later than the backend a hop ends: a last answer comes through.
+const hopLate = 60 * time.Millisecond
+
+// once reads a body that can be read once, and takes note that it began.
+type once struct {
+	r     io.Reader
+	first []byte
+	spent *bool
+}
+
+func (o *once) Read(b []byte) (int, error) {
+	if len(o.first) > 0 {
+		n := copy(b, o.first)
+		o.first = o.first[n:]
+		return n, nil
+	}
+	*o.spent = true
+	return o.r.Read(b)
+}
--- /dev/null
+++ b/internal/gangway/gangway.go
@@ -0,0 +1,158 @@
+// Package gangway is the traffic of one proxy: requests from clients of its machine in, through the proxy beside the backend
+// that was chosen, and the backend's answer back. Front takes requests and sees each to its one final answer; Helm decides;
+// hops carry; Gate alone speaks to the backend beside it. Start reading at Start.
+package gangway
+
+import (
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"saltmast/internal/berths"
+	"saltmast/internal/council"
+	"saltmast/internal/manifest"
+	"saltmast/internal/signal"
+	"saltmast/internal/tally"
+)
+
+// Headers of the mesh's clients and backends.
+const (
+	HeaderID     = "Violetlatch-Attempt-Id"
+	HeaderLeft   = "Violetlatch-Deadline-Remaining"
+	HeaderKey    = "Violetlatch-Operation-Key"
+	HeaderSeal   = "Violetlatch-Server-Seal"
+	HeaderTarget = "Violetlatch-Target-Instance"
+	HeaderNotRun = "Violetlatch-Not-Executed"
+	HeaderCaller = "Violetlatch-Caller-Service"
+)
+
+// Options are what a gangway is made of.
+type Options struct {
+	Node, Zone string
+	Service    string // that the backend beside this proxy runs; the caller of requests that begin here
+	App        string // host:port of that backend
+	GateAddr   string // host:port where other proxies call
+	Life       uint64 // of this process, random, other than 0
+	Begun      time.Time
+	Heartbeat  time.Duration
+
+	Ratio       float64 // further arrivals for each request, over all machines
+	Allowance   float64
+	Window      time.Duration
+	KeyWindow   time.Duration // operation keys are known for so long
+	AnswerBytes int           // kept of answers to keyed requests
+	MaxConns    int           // of clients
+
+	Council *council.Council
+	Log     func(event, text string)
+}
+
+// Gangway is the traffic of one proxy.
+type Gangway struct {
+	o     Options
+	Gate  *Gate
+	helm  *signal.Owner[Helm]
+	book  *signal.Owner[tally.Book[*Answer]]
+	hops  *hops
+	claim atomic.Uint64
+	chart atomic.Pointer[manifest.Chart]
+
+	stopping atomic.Bool
+	mu       sync.Mutex
+	conns    map[*client]bool
+	busy     sync.WaitGroup
+
+	Counts Counts
+}
+
+// Counts count what became of requests.
+type Counts struct {
+	Requests, Served, Late, Errors, Refused, NoRoute, Bad           atomic.Int64
+	Attempts, Retries, Claims, Lost, Split, CoreOut, Replayed, Void atomic.Int64
+	ClaimMicros, HopFull                                            atomic.Int64
+	ByKind                                                          [32]atomic.Int64 // own answers, by plight
+}
+
+// New returns a gangway that serves once Serve is called.
+func New(o Options) *Gangway {
+	h := NewHelm()
+	h.Node, h.Zone, h.Ratio, h.Allowance, h.Window = o.Node, o.Zone, o.Ratio, o.Allowance, o.Window
+	h.Rand = rand.New(rand.NewPCG(o.Life, 1))
+	g := &Gangway{o: o, Gate: newGate(o), helm: signal.Own(h, 256), hops: newHops(), conns: map[*client]bool{}}
+	g.book = signal.Own(tally.NewBook[*Answer](o.KeyWindow, o.AnswerBytes/2), 256)
+	return g
+}
+
+func (g *Gangway) now() time.Duration { return time.Since(g.o.Begun) }
+
+// Learn takes news of backends.
+func (g *Gangway) Learn(news []berths.Berth) {
+	g.helm.Ask(func(h *Helm) { h.Learn(g.now(), news) })
+}
+
+// Configure has the requests to come taken by another chart.
+func (g *Gangway) Configure(c *manifest.Chart) { g.chart.Store(c) }
+
+// Configured reports whether there is a configuration.
+func (g *Gangway) Configured() bool { return g.chart.Load() != nil }
+
+// Serve takes clients until the listener closes.
+func (g *Gangway) Serve(l net.Listener) { g.serve(l) }
+
+// ServeGate takes other proxies until the listener closes.
+func (g *Gangway) ServeGate(l net.Listener) { g.Gate.Serve(l, g.recallOwn) }
+
+// recallOwn tells what is known here of a key that was claimed here.
+func (g *Gangway) recallOwn(a *ask) outcome {
+	var op tally.Op[*Answer]
+	known := false
+	g.book.Ask(func(b *tally.Book[*Answer]) { op, known = b.Look(a.Key) })
+	o := recalled(op, known, a.Claim)
+	if !known && a.Claim.Life == g.o.Life { // of this life, and forgotten or never sent: it is void
+		o.State = tally.Void
+	}
+	return o
+}
+
+// Drain has each connection of clients end with its next answer.
+func (g *Gangway) Drain() { g.stopping.Store(true) }
+
+// Stop waits until what is under way is done, for so long at the most, and ends.
+func (g *Gangway) Stop(wait time.Duration) {
+	g.stopping.Store(true)
+	end := time.Now().Add(wait)
+	for time.Now().Before(end) && g.closeQuiet() > 0 {
+		time.Sleep(20 * time.Millisecond)
+	}
+	for time.Now().Before(end) {
+		if running, waiting := g.Gate.load(); running+waiting == 0 {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(min(30*time.Millisecond, max(0, time.Until(end)))) // the last answers leave
+	g.Gate.CloseAll()
+}
+
+// Report gives the counts by name.
+func (g *Gangway) Report() map[string]int64 {
+	c, q := &g.Counts, &g.Gate.Counts
+	out := map[string]int64{
+		"requests": c.Requests.Load(), "served": c.Served.Load(), "errors": c.Errors.Load(), "refused": c.Refused.Load(),
+		"no_route": c.NoRoute.Load(), "bad": c.Bad.Load(), "attempts": c.Attempts.Load(), "retries": c.Retries.Load(),
+		"claims": c.Claims.Load(), "claims_lost": c.Lost.Load(), "claims_split": c.Split.Load(), "core_out": c.CoreOut.Load(),
+		"replayed": c.Replayed.Load(), "claims_void": c.Void.Load(), "claim_us": c.ClaimMicros.Load(), "hop_full": c.HopFull.Load(),
+		"gate_asks": q.Asks.Load(), "gate_sent": q.Sent.Load(), "gate_full": q.Full.Load(), "gate_leaving": q.Leaving.Load(),
+		"gate_elsewhere": q.Elsewhere.Load(), "gate_away": q.Away.Load(), "gate_turned": q.TurnedAway.Load(),
+		"gate_failed": q.Failed.Load(), "gate_broken": q.Broken.Load(), "gate_timeout": q.TimedOut.Load(), "gate_strange": q.Strange.Load(),
+	}
+	for k := range c.ByKind {
+		if n := c.ByKind[k].Load(); n > 0 {
+			out["own_"+strconv.Itoa(k)] = n
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/gangway/gate.go
@@ -0,0 +1,773 @@
+package gangway
+
+import (
+	"bufio"
+	"container/heap"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"saltmast/internal/berths"
+	"saltmast/internal/http1"
+	"saltmast/internal/links"
+	"saltmast/internal/pilot"
+	"saltmast/internal/plight"
+	"saltmast/internal/signal"
+	"saltmast/internal/tally"
+)
+
+// Gate is the only one that speaks to the backend beside this proxy. It knows the backend's life and whether it leaves, and
+// what is in flight there from everybody: it turns away, with proof that nothing ran, what the backend should not get.
+type Gate struct {
+	o    Options
+	pool *links.Pool
+	book *signal.Owner[tally.Book[*Answer]]
+
+	mu      sync.Mutex
+	berth   berths.Berth // what this proxy tells of itself
+	addr    string       // of the backend
+	count   uint64       // of its newest beat
+	beat    time.Time
+	warmAt  time.Time
+	running int
+	queue   waits
+	order   int
+	news    func(berths.Berth) // hears of each change
+	open    map[net.Conn]bool
+	ended   bool
+
+	Counts GateCounts
+}
+
+// GateCounts count what a gate did with asks.
+type GateCounts struct {
+	Asks, Sent, Full, Leaving, Elsewhere, Away, TurnedAway, Failed, Broken, TimedOut, Strange, Recalls atomic.Int64
+}
+
+// wait is one ask that waits for a place.
+type wait struct {
+	rank, order int
+	ready       chan bool // true: it has a place
+	at          int
+}
+
+type waits []*wait
+
+func (w waits) Len() int { return len(w) }
+func (w waits) Less(i, j int) bool {
+	if w[i].rank != w[j].rank {
+		return w[i].rank < w[j].rank
+	}
+	return w[i].order < w[j].order
+}
+func (w waits) Swap(i, j int) { w[i], w[j] = w[j], w[i]; w[i].at, w[j].at = i, j }
+func (w *waits) Push(x any)   { e := x.(*wait); e.at = len(*w); *w = append(*w, e) }
+func (w *waits) Pop() any {
+	old := *w
+	e := old[len(old)-1]
+	*w = old[:len(old)-1]
+	e.at = -1
+	return e
+}
+
+const (
+	backendIdle  = 9 * time.Second
+	backendDial  = 500 * time.Millisecond
+	queuePart    = 1.0 // asks that may wait, of the capacity
+	lateBy       = 40 * time.Millisecond
+	maxStrange   = 4 // answers to others that may come before the one that is wanted
+	maxAnswer    = 1 << 40
+	keepAliveOff = 300 * time.Millisecond // a connection is let go so long before its backend would
+)
+
+func newGate(o Options) *Gate {
+	g := &Gate{o: o, pool: links.New(backendIdle, backendDial, 0), open: map[net.Conn]bool{},
+		berth: berths.Berth{Node: o.Node, Addr: o.GateAddr, Zone: o.Zone, Life: o.Life, Version: 1, Service: o.Service}}
+	g.book = signal.Own(tally.NewBook[*Answer](o.KeyWindow, o.AnswerBytes/2), 256)
+	return g
+}
+
+// Berth is what this proxy tells of itself now.
+func (g *Gate) Berth() berths.Berth {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.told()
+}
+
+func (g *Gate) told() berths.Berth {
+	b := g.berth
+	b.WarmMs = uint32(max(0, time.Until(g.warmAt).Milliseconds()))
+	return b
+}
+
+// change changes what is told. The caller holds g.mu.
+func (g *Gate) change(f func(b *berths.Berth)) {
+	f(&g.berth)
+	g.berth.Version++
+	if g.news != nil {
+		g.news(g.told())
+	}
+}
+
+// Refute raises the version over another that is told of this node: of a former life.
+func (g *Gate) Refute(other berths.Berth) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if other.Life != g.berth.Life && other.Version >= g.berth.Version {
+		g.change(func(b *berths.Berth) { b.Version = other.Version })
+	}
+}
+
+// Beat takes a beat of the backend. One that comes late changes nothing.
+func (g *Gate) Beat(p pilot.Beat) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.ended {
+		return nil
+	}
+	same := p.ID == g.berth.Instance
+	if same && p.Count < g.count {
+		return nil
+	}
+	g.count, g.beat = p.Count, time.Now()
+	g.warmAt = g.beat.Add(p.Warm)
+	if p.Addr != "" && g.o.App == "" {
+		g.addr = p.Addr
+	}
+	if !same {
+		g.pool.Retire(g.berth.Instance)
+	}
+	if same && g.berth.State == p.State && g.berth.Capacity == p.Capacity {
+		return nil
+	}
+	if same && g.berth.State == berths.Draining && p.State == berths.Serving && p.Count == g.count {
+		return nil
+	}
+	g.change(func(b *berths.Berth) {
+		b.Instance, b.Service, b.Release, b.Capacity, b.State = p.ID, p.Service, p.Release, p.Capacity, p.State
+	})
+	g.o.Log("backend", fmt.Sprintf("%s of %s: %s, capacity %d", p.ID, p.Service, p.State, p.Capacity))
+	g.admit()
+	return nil
+}
+
+// Leave takes note that the backend has ended.
+func (g *Gate) Leave(id string) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if id == g.berth.Instance && g.berth.State != berths.None {
+		g.change(func(b *berths.Berth) { b.State = berths.None })
+		g.o.Log("backend", id+": ended")
+		g.turnOut()
+	}
+	return nil
+}
+
+// Watch looks whether beats still come.
+func (g *Gate) Watch(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.berth.State != berths.None && now.Sub(g.beat) > 4*g.o.Heartbeat {
+		g.change(func(b *berths.Berth) { b.State = berths.None })
+		g.count = 0
+		g.o.Log("backend", g.berth.Instance+": says nothing more")
+		g.turnOut()
+	}
+}
+
+// Withdraw tells that this proxy takes nothing more for its backend.
+func (g *Gate) Withdraw() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ended = true
+	g.change(func(b *berths.Berth) { b.State = berths.None })
+	g.turnOut()
+}
+
+// refused takes note that the backend accepts no connections: its next beat tells whether it is back.
+func (g *Gate) refused(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.berth.Instance == id && g.berth.State == berths.Serving {
+		g.change(func(b *berths.Berth) { b.State = berths.None })
+		g.o.Log("backend", id+": refuses connections")
+		g.turnOut()
+	}
+}
+
+// turnOut turns away all that wait. The caller holds g.mu.
+func (g *Gate) turnOut() {
+	for len(g.queue) > 0 {
+		heap.Pop(&g.queue).(*wait).ready <- false
+	}
+}
+
+// admit gives places to those that wait. The caller holds g.mu.
+func (g *Gate) admit() {
+	for len(g.queue) > 0 && g.running < g.berth.Capacity {
+		g.running++
+		heap.Pop(&g.queue).(*wait).ready <- true
+	}
+}
+
+// enter asks for a place at the backend, and waits for it for at most hold.
+func (g *Gate) enter(a *ask) plight.Kind {
+	g.mu.Lock()
+	switch {
+	case g.ended:
+		g.mu.Unlock()
+		return plight.Leaving
+	case g.berth.Instance != a.Instance || g.berth.Service != a.Service:
+		g.mu.Unlock()
+		return plight.Elsewhere
+	case g.berth.State != berths.Serving:
+		g.mu.Unlock()
+		return plight.Leaving
+	case g.running < g.berth.Capacity:
+		g.running++
+		g.mu.Unlock()
+		return plight.OK
+	case a.Hold == 0 || float64(len(g.queue)) >= queuePart*float64(g.berth.Capacity):
+		g.mu.Unlock()
+		return plight.Full
+	}
+	g.order++
+	w := &wait{rank: a.Rank, order: g.order, ready: make(chan bool, 1)}
+	heap.Push(&g.queue, w)
+	g.mu.Unlock()
+	t := time.NewTimer(time.Duration(a.Hold) * time.Millisecond)
+	defer t.Stop()
+	select {
+	case ok := <-w.ready:
+		if !ok {
+			return plight.Leaving
+		}
+		return plight.OK
+	case <-t.C:
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if w.at >= 0 {
+		heap.Remove(&g.queue, w.at)
+		return plight.Full
+	}
+	if <-w.ready { // it was given in the same moment
+		return plight.OK
+	}
+	return plight.Leaving
+}
+
+func (g *Gate) exit() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.running--
+	g.admit()
+}
+
+func (g *Gate) load() (running, waiting int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.running, len(g.queue)
+}
+
+// run carries out one ask: it is at the backend once at the most. rest is what follows body.
+func (g *Gate) run(a *ask, body []byte, rest io.Reader) outcome {
+	g.Counts.Asks.Add(1)
+	came := time.Now()
+	if k := g.enter(a); k != plight.OK {
+		switch k {
+		case plight.Full:
+			g.Counts.Full.Add(1)
+		case plight.Elsewhere:
+			g.Counts.Elsewhere.Add(1)
+		default:
+			g.Counts.Leaving.Add(1)
+		}
+		return g.tell(outcome{told: told{Plight: k}})
+	}
+	left := time.Duration(a.Left)*time.Millisecond - time.Since(came)
+	if left <= 0 {
+		g.exit()
+		return g.tell(outcome{told: told{Plight: plight.Overdue}})
+	}
+	if a.Key != "" {
+		g.book.Ask(func(b *tally.Book[*Answer]) {
+			b.Forget(a.Key, a.Claim)
+			b.Begin(time.Since(g.o.Begun), a.Key, a.Claim)
+		})
+	}
+	sent := time.Now()
+	o := g.exchange(a, body, rest, sent.Add(left))
+	o.WorkMs = uint32(time.Since(sent).Milliseconds())
+	if o.answer != nil && o.answer.Rest != nil { // its place is free when it has gone on
+		end := o.answer.end
+		o.answer.end = func(whole bool) { end(whole); g.exit() }
+	} else {
+		g.exit()
+	}
+	if a.Key != "" {
+		state, size := tally.Unknown, 0
+		switch {
+		case o.Plight == plight.OK && o.answer.Rest == nil:
+			state, size = tally.Done, o.answer.size()
+		case o.Plight.NotRun():
+			state = tally.Void
+		}
+		g.book.Ask(func(b *tally.Book[*Answer]) { b.End(a.Key, a.Claim, state, o.answer, size, "") })
+	}
+	return g.tell(o)
+}
+
+func (g *Gate) tell(o outcome) outcome {
+	o.Running, o.Waiting = g.load()
+	return o
+}
+
+// recallAnswer tells the answer of a key that ran here.
+func (g *Gate) recallAnswer(a *ask) outcome {
+	g.Counts.Recalls.Add(1)
+	var op tally.Op[*Answer]
+	known := false
+	g.book.Ask(func(b *tally.Book[*Answer]) { op, known = b.Look(a.Key) })
+	return recalled(op, known, a.Claim)
+}
+
+// recallHere tells what is known on this machine of a key: by own, where it was claimed here, or else by the backend's side.
+func (g *Gate) recallHere(a *ask, own func(*ask) outcome) outcome {
+	o := own(a)
+	if o.Plight == plight.Gone {
+		if ran := g.recallAnswer(a); ran.Plight != plight.Gone {
+			return ran
+		}
+	}
+	return o
+}
+
+// recalled is what is told of an operation.
+func recalled(op tally.Op[*Answer], known bool, id tally.ID) outcome {
+	switch {
+	case !known || op.ID != id:
+		return outcome{told: told{Plight: plight.Gone}}
+	case op.State == tally.Done:
+		return outcome{told: told{State: tally.Done}, answer: op.Answer}
+	case op.State == tally.AtWork:
+		return outcome{told: told{Plight: plight.KeyAtWork, State: op.State}}
+	case op.State == tally.Void:
+		return outcome{told: told{Plight: plight.KeySplit, State: op.State}}
+	}
+	return outcome{told: told{Plight: plight.KeyUnknown, State: op.State}}
+}
+
+// ---- The backend ----
+
+// exchange sends a request to the backend and reads its answer.
+func (g *Gate) exchange(a *ask, body []byte, rest io.Reader, cut time.Time) outcome {
+	c := g.pool.Take(a.Instance)
+	if c == nil {
+		g.mu.Lock()
+		addr := g.addr
+		g.mu.Unlock()
+		if addr == "" {
+			addr = g.o.App
+		}
+		var err error
+		if c, err = g.pool.Dial(context.Background(), a.Instance, addr, cut); err != nil {
+			g.Counts.Away.Add(1)
+			if !isTimeout(err) {
+				g.refused(a.Instance)
+			}
+			return outcome{told: told{Plight: plight.Away}, err: err}
+		}
+	}
+	end := cut.Add(lateBy)
+	c.SetDeadline(end)
+	g.Counts.Sent.Add(1)
+	buf := getBuf()
+	msg := appendRequest((*buf)[:0], a, g.o.Service, time.Until(cut))
+	if rest == nil {
+		msg = append(msg, body...)
+	}
+	_, err := c.Write(msg)
+	*buf = msg[:0]
+	putBuf(buf)
+	if err == nil && rest != nil {
+		err = passBody(c, a.Length, body, rest)
+		c.SetDeadline(end)
+	}
+	if errors.Is(err, errClient) {
+		g.pool.Close(c)
+		return outcome{told: told{Plight: plight.Broken, Sent: true}, err: err}
+	}
+	in := getReader(c)
+	o, again, rested := g.answer(c, in, a, end)
+	if err != nil {
+		again = false
+	}
+	if o.answer != nil && o.answer.Rest != nil {
+		o.answer.end = func(whole bool) { g.giveBack(c, in, whole && again, rested) }
+		return o
+	}
+	g.giveBack(c, in, again, rested)
+	return o
+}
+
+func (g *Gate) giveBack(c *links.Conn, in *bufio.Reader, again bool, rest time.Duration) {
+	again = again && in.Buffered() == 0
+	putReader(in)
+	if !again {
+		g.pool.Close(c)
+		return
+	}
+	g.pool.ReleaseFor(c, rest)
+}
+
+// answer reads the answer to an ask. again: another request may follow on the connection, which may rest for so long.
+func (g *Gate) answer(c *links.Conn, in *bufio.Reader, a *ask, end time.Time) (o outcome, again bool, rest time.Duration) {
+	fail := func(err error) (outcome, bool, time.Duration) {
+		k := plight.Broken
+		var ne net.Error
+		switch {
+		case isTimeout(err):
+			k = plight.TimedOut
+			g.Counts.TimedOut.Add(1)
+		case errors.As(err, &ne), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+			g.Counts.Broken.Add(1)
+		default:
+			k = plight.Failed
+			g.Counts.Failed.Add(1)
+		}
+		return outcome{told: told{Plight: k, Sent: true}, err: err}, false, 0
+	}
+	for range maxStrange {
+		status, h, last, err := http1.ReadAnswer(in)
+		if err != nil {
+			return fail(err)
+		}
+		if status >= 100 && status < 200 {
+			if status == 101 {
+				return fail(errors.New("a change of protocol that nobody asked for"))
+			}
+			continue
+		}
+		length := int64(0)
+		if a.Method != "HEAD" {
+			if length, err = http1.AnswerLength(status, h, maxAnswer); err != nil {
+				return fail(err)
+			}
+		}
+		body := http1.AnswerBody(in, length)
+		id := h.Get(HeaderID)
+		declined := h.Get(HeaderNotRun) != "" || status == 421
+		if id != a.ID && !(id == "" && declined) { // an answer to another, which came late
+			g.Counts.Strange.Add(1)
+			if id == "" || last || length == http1.UntilClose {
+				return fail(errors.New("an answer to no request of ours"))
+			}
+			if _, err := io.Copy(io.Discard, body); err != nil {
+				return fail(err)
+			}
+			continue
+		}
+		rest = backendIdle
+		if s := keepAlive(h.Get("Keep-Alive")); s > 0 {
+			rest = min(rest, s-keepAliveOff)
+		}
+		again = !last && length != http1.UntilClose
+		whole, all, err := readSome(body, limit(length))
+		if err != nil {
+			return fail(err)
+		}
+		if declined {
+			if !all {
+				again = false
+			}
+			g.Counts.TurnedAway.Add(1)
+			return outcome{told: told{Plight: plight.TurnedAway, Sent: true, Status: status}}, again, rest
+		}
+		if status/100 == 2 && (h.Get(HeaderSeal) == "" || h.Get("Content-Encoding") != "") {
+			return fail(fmt.Errorf("a %d that is not the backend's", status))
+		}
+		ans := &Answer{Status: status, Header: fields(h), Body: whole, Length: int64(len(whole))}
+		if !all {
+			ans.Length = length
+			if length < 0 {
+				ans.Length = pieces
+			}
+			ans.Rest = body
+			c.SetDeadline(time.Time{})
+		}
+		return outcome{told: told{Sent: true, Status: status}, answer: ans}, again, rest
+	}
+	return fail(errors.New("no end of answers to others"))
+}
+
+// limit is the length for readSome, which knows two kinds.
+func limit(length int64) int64 {
+	if length < 0 {
+		return pieces
+	}
+	return length
+}
+
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
+
+// keepAlive reads how long a server keeps a connection that rests; 0: it does not say.
+func keepAlive(v string) time.Duration {
+	for part := range strings.SplitSeq(v, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if s, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") && s > 0 && s < 1<<20 {
+			return time.Duration(s) * time.Second
+		}
+	}
+	return 0
+}
+
+// fields are the headers that go on, without those that concern one connection.
+func fields(h textproto.MIMEHeader) []Field {
+	out := make([]Field, 0, len(h))
+	for name, values := range h {
+		if dropped(name, h) {
+			continue
+		}
+		for _, v := range values {
+			out = append(out, Field{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+func dropped(name string, h map[string][]string) bool {
+	if name == "Content-Length" || http1.SingleHop(name) {
+		return true
+	}
+	for _, v := range h["Connection"] {
+		for option := range strings.SplitSeq(v, ",") {
+			if strings.EqualFold(strings.TrimSpace(option), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// appendRequest appends a request's head as the backend gets it.
+func appendRequest(buf []byte, a *ask, service string, left time.Duration) []byte {
+	add := func(parts ...string) {
+		for _, p := range parts {
+			buf = append(buf, p...)
+		}
+	}
+	add(a.Method, " ", a.Target, " HTTP/1.1\r\n")
+	for _, f := range a.Header {
+		add(f.Name, ": ", f.Value, "\r\n")
+	}
+	add(HeaderTarget, ": ", a.Instance, "\r\n", HeaderLeft, ": ")
+	buf = strconv.AppendInt(buf, max(1, left.Milliseconds()), 10)
+	add("\r\n")
+	switch {
+	case a.Length < 0:
+		add("Transfer-Encoding: chunked\r\n")
+	case a.Length > 0 || a.Method != "GET" && a.Method != "HEAD" && a.Method != "DELETE":
+		add("Content-Length: ")
+		buf = strconv.AppendInt(buf, a.Length, 10)
+		add("\r\n")
+	}
+	add("\r\n")
+	return buf
+}
+
+// passBody writes a body that comes as it goes.
+func passBody(c net.Conn, length int64, first []byte, rest io.Reader) error {
+	b := make([]byte, pieceBytes)
+	put := func(p []byte) error {
+		if len(p) == 0 {
+			return nil
+		}
+		c.SetWriteDeadline(time.Now().Add(stallTime))
+		if length < 0 {
+			p = fmt.Appendf(nil, "%x\r\n%s\r\n", len(p), p)
+		}
+		_, err := c.Write(p)
+		return err
+	}
+	if err := put(first); err != nil {
+		return err
+	}
+	for {
+		n, err := rest.Read(b)
+		if werr := put(b[:n]); werr != nil {
+			return werr
+		}
+		if err == io.EOF {
+			if length < 0 {
+				_, err := io.WriteString(c, "0\r\n\r\n")
+				return err
+			}
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("%w: %w", errClient, err)
+		}
+	}
+}
+
+// ---- Asks from other proxies ----
+
+// Serve takes asks from other proxies until the listener closes.
+func (g *Gate) Serve(l net.Listener, own func(a *ask) outcome) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			time.Sleep(5 * time.Millisecond) // of descriptors: some are given back soon
+			continue
+		}
+		if t, ok := c.(*net.TCPConn); ok {
+			if raw, err := t.SyscallConn(); err == nil {
+				raw.Control(func(fd uintptr) { signal.SetOptions(fd, hopQuiet) })
+			}
+		}
+		g.mu.Lock()
+		g.open[c] = true
+		g.mu.Unlock()
+		go func() {
+			g.serve(c, own)
+			c.Close()
+			g.mu.Lock()
+			delete(g.open, c)
+			g.mu.Unlock()
+		}()
+	}
+}
+
+// CloseAll ends the connections of other proxies.
+func (g *Gate) CloseAll() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.open {
+		c.Close()
+	}
+}
+
+func (g *Gate) serve(c net.Conn, own func(a *ask) outcome) {
+	in := bufio.NewReaderSize(c, 4<<10)
+	for {
+		c.SetReadDeadline(time.Now().Add(hopIdle + 5*time.Second))
+		var a ask
+		if err := readMessage(in, &a); err != nil {
+			return
+		}
+		var o outcome
+		var body []byte
+		var rest io.Reader
+		switch {
+		case a.Kind == recall:
+			o = g.recallHere(&a, own)
+		case a.Kind != run:
+			return
+		case a.Length >= 0 && a.Length <= keepBytes:
+			body = make([]byte, a.Length)
+			if _, err := io.ReadFull(in, body); err != nil {
+				return
+			}
+			c.SetReadDeadline(time.Time{})
+			o = g.run(&a, body, nil)
+		default:
+			rest = &pieceReader{in: in}
+			c.SetReadDeadline(time.Time{})
+			o = g.run(&a, nil, &stalling{c, rest})
+			if pr := rest.(*pieceReader); pr.err != io.EOF { // what is left of the body is nobody's
+				writeTold(c, o)
+				return
+			}
+		}
+		if !writeTold(c, o) {
+			return
+		}
+	}
+}
+
+// stalling bounds how long each read of a body may bring nothing.
+type stalling struct {
+	c net.Conn
+	r io.Reader
+}
+
+func (s *stalling) Read(b []byte) (int, error) {
+	s.c.SetReadDeadline(time.Now().Add(stallTime))
+	return s.r.Read(b)
+}
+
+// writeTold writes an answer to a hop, and reports whether its connection goes on.
+func writeTold(c net.Conn, o outcome) bool {
+	t := o.told
+	c.SetWriteDeadline(time.Now().Add(stallTime))
+	if o.answer == nil {
+		_, err := c.Write(appendMessage(nil, t, nil))
+		return err == nil
+	}
+	a := o.answer
+	t.Status, t.Header, t.Length = a.Status, a.Header, a.Length
+	if a.Rest == nil {
+		buf := getBuf()
+		msg := appendMessage((*buf)[:0], t, a.Body)
+		_, err := c.Write(msg)
+		*buf = msg[:0]
+		putBuf(buf)
+		return err == nil
+	}
+	whole := false
+	defer func() { a.Close(whole) }()
+	first := a.Body
+	w := &pieceWriter{w: c}
+	if t.Length >= 0 {
+		if _, err := c.Write(appendMessage(nil, t, first)); err != nil {
+			return false
+		}
+	} else if _, err := c.Write(appendMessage(nil, t, nil)); err != nil || w.write(first) != nil {
+		return false
+	}
+	b := make([]byte, pieceBytes)
+	for {
+		n, err := a.Rest.Read(b)
+		if n > 0 {
+			c.SetWriteDeadline(time.Now().Add(stallTime))
+			var werr error
+			if t.Length >= 0 {
+				_, werr = c.Write(b[:n])
+			} else {
+				werr = w.write(b[:n])
+			}
+			if werr != nil {
+				return false
+			}
+		}
+		if err == io.EOF {
+			whole = true
+			return t.Length >= 0 || w.end(true) == nil
+		}
+		if err != nil {
+			return false // the connection ends before the body does: so the other side knows
+		}
+	}
+}
+
+// OnChange has f hear of each change of what this proxy tells of itself. f must not call the gate.
+func (g *Gate) OnChange(f func(berths.Berth)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.news = f
+}
--- /dev/null
+++ b/internal/gangway/hop.go
@@ -0,0 +1,414 @@
+package gangway
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"saltmast/internal/links"
+	"saltmast/internal/plight"
+	"saltmast/internal/signal"
+	"saltmast/internal/tally"
+)
+
+// A hop carries one request from the proxy where it began to the proxy beside a backend, and the answer back. One
+// connection carries one at a time. A message is 4 bytes of length, a CBOR head of so many bytes, and a body: as many bytes
+// as the head tells, or pieces, each with 4 bytes of length before it, up to an empty one. A piece of length broken says that
+// the rest will not come.
+
+// Kinds of an ask.
+const (
+	run    uint8 = iota // run this request
+	recall              // tell the answer of this key, if it is known
+)
+
+// pieces is the length of a body that comes in pieces.
+const pieces = -1
+
+const broken = 1<<32 - 1
+
+const (
+	maxHopHead = 128 << 10
+	pieceBytes = 16 << 10
+)
+
+// Field is one header line.
+type Field struct {
+	_     struct{} `cbor:",toarray"`
+	Name  string
+	Value string
+}
+
+// ask is the head of a request on a hop.
+type ask struct {
+	Kind     uint8    `cbor:"1,keyasint"`
+	Instance string   `cbor:"2,keyasint"` // the backend that is meant
+	Service  string   `cbor:"3,keyasint"`
+	Method   string   `cbor:"4,keyasint"`
+	Target   string   `cbor:"5,keyasint"`
+	Header   []Field  `cbor:"6,keyasint"`
+	Length   int64    `cbor:"7,keyasint"` // of the body; pieces
+	Left     uint32   `cbor:"8,keyasint"` // milliseconds that the client waits on
+	Hold     uint32   `cbor:"9,keyasint"` // milliseconds that it may wait for a place
+	Rank     int      `cbor:"10,keyasint"`
+	Once     bool     `cbor:"11,keyasint"` // it must not run again
+	ID       string   `cbor:"12,keyasint"` // of the attempt, as the client gave it
+	Key      string   `cbor:"13,keyasint,omitempty"`
+	Claim    tally.ID `cbor:"14,keyasint"`
+	Chunks   bool     `cbor:"15,keyasint,omitempty"` // the client sent its body in chunks
+}
+
+// told is the head of an answer on a hop.
+type told struct {
+	Plight  plight.Kind `cbor:"1,keyasint"` // OK: the backend's answer follows
+	Sent    bool        `cbor:"2,keyasint"` // the request went to the backend
+	Status  int         `cbor:"3,keyasint"`
+	Header  []Field     `cbor:"4,keyasint"`
+	Length  int64       `cbor:"5,keyasint"`
+	Running int         `cbor:"6,keyasint"` // requests at the backend now
+	Waiting int         `cbor:"7,keyasint"` // and before it
+	WorkMs  uint32      `cbor:"8,keyasint"` // from the send to the answer
+	State   tally.State `cbor:"9,keyasint"` // of a recall
+}
+
+// appendMessage appends a head and what is there of the body.
+func appendMessage(buf []byte, head any, body []byte) []byte {
+	h := signal.Encode(head)
+	buf = binary.BigEndian.AppendUint32(buf, uint32(len(h)))
+	buf = append(buf, h...)
+	return append(buf, body...)
+}
+
+// readMessage reads a head.
+func readMessage(in *bufio.Reader, head any) error {
+	var n [4]byte
+	if _, err := io.ReadFull(in, n[:]); err != nil {
+		return err
+	}
+	size := binary.BigEndian.Uint32(n[:])
+	if size > maxHopHead {
+		return plight.New(plight.Malformed, "a head of %d bytes", size)
+	}
+	if b, err := in.Peek(int(size)); err == nil {
+		err = signal.Decode(b, head)
+		in.Discard(int(size))
+		return err
+	}
+	b := make([]byte, size)
+	if _, err := io.ReadFull(in, b); err != nil {
+		return err
+	}
+	return signal.Decode(b, head)
+}
+
+// pieceWriter writes a body in pieces.
+type pieceWriter struct {
+	w   io.Writer
+	buf []byte
+}
+
+func (p *pieceWriter) write(b []byte) error {
+	p.buf = binary.BigEndian.AppendUint32(p.buf[:0], uint32(len(b)))
+	p.buf = append(p.buf, b...)
+	_, err := p.w.Write(p.buf)
+	return err
+}
+
+// end says that the body is whole, or that its rest will not come.
+func (p *pieceWriter) end(whole bool) error {
+	n := uint32(0)
+	if !whole {
+		n = broken
+	}
+	_, err := p.w.Write(binary.BigEndian.AppendUint32(p.buf[:0], n))
+	return err
+}
+
+// errBroken is what a reader of pieces gets where the sender could not go on.
+var errBroken = errors.New("the rest did not come")
+
+// pieceReader reads a body in pieces: io.EOF comes at the end of a whole one alone.
+type pieceReader struct {
+	in   *bufio.Reader
+	left uint32
+	err  error
+}
+
+func (p *pieceReader) Read(b []byte) (int, error) {
+	if p.err != nil {
+		return 0, p.err
+	}
+	if p.left == 0 {
+		var n [4]byte
+		if _, err := io.ReadFull(p.in, n[:]); err != nil {
+			p.err = unexpected(err)
+			return 0, p.err
+		}
+		switch p.left = binary.BigEndian.Uint32(n[:]); {
+		case p.left == 0:
+			p.err = io.EOF
+			return 0, io.EOF
+		case p.left == broken:
+			p.err = errBroken
+			return 0, p.err
+		case p.left > 1<<20:
+			p.err = plight.New(plight.Malformed, "a piece of %d bytes", p.left)
+			return 0, p.err
+		}
+	}
+	n, err := p.in.Read(b[:min(len(b), int(p.left))])
+	p.left -= uint32(n)
+	if err != nil {
+		p.err = unexpected(err)
+	}
+	return n, p.err
+}
+
+func unexpected(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// exact reads so many bytes: an end before is an error.
+type exact struct {
+	in   io.Reader
+	left int64
+}
+
+func (e *exact) Read(b []byte) (int, error) {
+	if e.left == 0 {
+		return 0, io.EOF
+	}
+	n, err := e.in.Read(b[:min(int64(len(b)), e.left)])
+	if e.left -= int64(n); err != nil {
+		return n, unexpected(err)
+	}
+	return n, nil
+}
+
+// Answer is a backend's answer. One whose body goes on as it comes is closed by whoever got it.
+type Answer struct {
+	Status int
+	Header []Field
+	Body   []byte    // whole, where Rest is nil
+	Rest   io.Reader // what follows Body; io.EOF comes at its whole end alone
+	Length int64     // of Body and Rest; pieces: not told
+	end    func(whole bool)
+}
+
+// Close ends one that goes on as it comes.
+func (a *Answer) Close(whole bool) {
+	if a != nil && a.end != nil {
+		a.end(whole)
+		a.end = nil
+	}
+}
+
+// size is about what an answer takes in memory.
+func (a *Answer) size() int {
+	n := 128 + len(a.Body)
+	for _, f := range a.Header {
+		n += 32 + len(f.Name) + len(f.Value)
+	}
+	return n
+}
+
+// outcome is how one hop ended.
+type outcome struct {
+	told
+	answer *Answer
+	err    error // of the hop itself
+	fresh  bool  // nothing went out on the hop: nothing has run
+}
+
+// hops makes hops to other proxies.
+type hops struct {
+	pool *links.Pool
+}
+
+const (
+	hopDial  = 300 * time.Millisecond
+	hopIdle  = 20 * time.Second
+	hopQuiet = 800 * time.Millisecond // sent bytes that stay unacknowledged for so long end a hop
+)
+
+func newHops() *hops {
+	h := &hops{pool: links.New(hopIdle, hopDial, 0)}
+	h.pool.Control = func(fd uintptr) error { signal.SetOptions(fd, hopQuiet); return nil }
+	return h
+}
+
+// hopConn is the buffered reader that a connection keeps while it is in use.
+func (h *hops) dial(addr string, cut time.Time) (*links.Conn, error) {
+	if c := h.pool.Take(addr); c != nil {
+		return c, nil
+	}
+	return h.pool.Dial(context.Background(), addr, addr, cut)
+}
+
+// do makes one hop. body is sent whole; stream, where there is one, goes on after it as it comes, in pieces. An answer of
+// more than keepBytes goes on as it comes.
+func (h *hops) do(addr string, a *ask, body []byte, stream io.Reader, cut time.Time) outcome {
+	dialCut := cut
+	c, err := h.dial(addr, dialCut)
+	if err != nil {
+		h.pool.CloseIdle(addr)
+		return outcome{told: told{Plight: plight.Away}, err: err, fresh: true}
+	}
+	c.SetDeadline(cut)
+	buf := getBuf()
+	msg := appendMessage((*buf)[:0], a, body)
+	_, err = c.Write(msg)
+	*buf = msg[:0]
+	putBuf(buf)
+	if err != nil { // some of it may have arrived whole
+		h.pool.Close(c)
+		return outcome{told: told{Plight: plight.Broken, Sent: true}, err: err}
+	}
+	if stream != nil {
+		if err := sendPieces(c, stream); err != nil {
+			h.pool.Close(c)
+			return outcome{told: told{Plight: plight.Broken, Sent: true}, err: err}
+		}
+		c.SetDeadline(cut)
+	}
+	in := getReader(c)
+	var t told
+	if err := readMessage(in, &t); err != nil {
+		putReader(in)
+		h.pool.Close(c)
+		k := plight.Broken
+		var ne net.Error
+		if errors.As(err, &ne) && ne.Timeout() {
+			k = plight.TimedOut
+			if time.Now().Before(cut) { // the link's own time-out, of bytes that nobody acknowledged
+				k = plight.Broken
+			}
+		}
+		if k == plight.Broken {
+			h.pool.CloseIdle(addr)
+		}
+		return outcome{told: told{Plight: k, Sent: true}, err: err}
+	}
+	o := outcome{told: t}
+	if t.Plight != plight.OK {
+		h.release(c, in)
+		return o
+	}
+	o.answer, err = readBody(in, t, func(whole bool) {
+		if whole {
+			h.release(c, in)
+		} else {
+			putReader(in)
+			h.pool.Close(c)
+		}
+	})
+	if err != nil {
+		putReader(in)
+		h.pool.Close(c)
+		return outcome{told: told{Plight: plight.Broken, Sent: true, Status: t.Status}, err: err}
+	}
+	if o.answer.Rest != nil {
+		c.SetDeadline(time.Time{})
+	}
+	return o
+}
+
+func (h *hops) release(c *links.Conn, in *bufio.Reader) {
+	extra := in.Buffered() > 0
+	putReader(in)
+	if extra {
+		h.pool.Close(c)
+		return
+	}
+	h.pool.Release(c)
+}
+
+// readBody reads the body behind a head, whole up to keepBytes; end is called when what goes on has ended, or at once.
+func readBody(in *bufio.Reader, t told, end func(whole bool)) (*Answer, error) {
+	a := &Answer{Status: t.Status, Header: t.Header, Length: t.Length}
+	var from io.Reader = &pieceReader{in: in}
+	if t.Length >= 0 {
+		from = &exact{in: in, left: t.Length}
+	}
+	var whole bool
+	var err error
+	if a.Body, whole, err = readSome(from, t.Length); err != nil {
+		return nil, err
+	}
+	if whole {
+		a.Length = int64(len(a.Body))
+		end(true)
+		return a, nil
+	}
+	a.Rest, a.end = from, end
+	return a, nil
+}
+
+// keepBytes is how much of a body is read before it goes on.
+const keepBytes = 64 << 10
+
+// readSome reads a body up to keepBytes, and reports whether that was all.
+func readSome(from io.Reader, length int64) (body []byte, whole bool, err error) {
+	if length >= 0 && length <= keepBytes {
+		body = make([]byte, length)
+		_, err = io.ReadFull(from, body)
+		return body, true, unexpectedNil(err, length)
+	}
+	body = make([]byte, 0, 4<<10)
+	for len(body) < keepBytes {
+		if len(body) == cap(body) {
+			grown := make([]byte, len(body), min(2*cap(body), keepBytes))
+			copy(grown, body)
+			body = grown
+		}
+		n, err := from.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+	return body, false, nil
+}
+
+func unexpectedNil(err error, length int64) error {
+	if err == io.EOF && length == 0 {
+		return nil
+	}
+	return err
+}
+
+// sendPieces sends a body as it comes.
+func sendPieces(c net.Conn, from io.Reader) error {
+	w := &pieceWriter{w: c}
+	b := make([]byte, pieceBytes)
+	for {
+		n, err := from.Read(b)
+		c.SetWriteDeadline(time.Now().Add(stallTime))
+		if n > 0 {
+			if err := w.write(b[:n]); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			return w.end(true)
+		}
+		if err != nil {
+			w.end(false)
+			return fmt.Errorf("%w: %w", errClient, err)
+		}
+	}
+}
+
+// errClient marks a body that its client did not bring to its end.
+var errClient = errors.New("the client's body broke off")
--- /dev/null
+++ b/internal/gangway/keyed.go
@@ -0,0 +1,198 @@
+package gangway
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"saltmast/internal/codebook"
+	"saltmast/internal/council"
+	"saltmast/internal/plight"
+	"saltmast/internal/signal"
+	"saltmast/internal/tally"
+)
+
+const (
+	claimTime  = 400 * time.Millisecond // for a majority to grant a key
+	recallTime = 250 * time.Millisecond
+	claimTries = 3
+)
+
+// once sees a request to its answer that may run once for its key: claimed with a majority before it is sent, and given the
+// answer of the first where it is a repeat.
+func (v *voyage) once() (*Answer, plight.Kind) {
+	g := v.g
+	if v.key = v.r.Header.Get(HeaderKey); v.key == "" || len(v.key) > 512 {
+		return nil, plight.Unreadable
+	}
+	if v.rest != nil {
+		return nil, plight.BodyTooLong // what can't be kept can't be claimed for: nothing of it may be half sent
+	}
+	id := tally.ID{Life: g.o.Life, N: g.claim.Add(1), At: g.o.GateAddr}
+	var known tally.Op[*Answer]
+	begun := false
+	g.book.Ask(func(b *tally.Book[*Answer]) { known, begun = b.Begin(g.now(), v.key, id) })
+	if !begun {
+		if known.State == tally.Unknown && known.Where != "" { // the proxy beside the backend may have got the answer since
+			return v.told(v.recall(known.Where, known.ID))
+		}
+		return v.told(recalled(known, true, known.ID))
+	}
+	v.claim = id
+	k, holder := v.claimKey()
+	switch k {
+	case plight.OK:
+	case plight.KeyAtWork: // another has it
+		g.Counts.Lost.Add(1)
+		v.end(tally.Void, nil, "")
+		g.book.Send(func(b *tally.Book[*Answer]) { b.Forget(v.key, id) })
+		return v.ofAnother(holder)
+	default:
+		v.release()
+		return nil, k
+	}
+	a, k, where := v.attempts()
+	switch {
+	case a != nil && a.Rest == nil:
+		v.end(tally.Done, a, where)
+	case a == nil && k.NotRun():
+		v.release()
+	default:
+		v.end(tally.Unknown, nil, where)
+	}
+	return a, k
+}
+
+func (v *voyage) end(s tally.State, a *Answer, where string) {
+	size := 0
+	if a != nil {
+		size = a.size()
+	}
+	v.g.book.Ask(func(b *tally.Book[*Answer]) { b.End(v.key, v.claim, s, a, size, where) })
+}
+
+// release gives the claim back: nothing ran under it, and nothing will.
+func (v *voyage) release() {
+	v.g.Counts.Void.Add(1)
+	v.end(tally.Void, nil, "")
+	v.free(v.claim)
+}
+
+// free tells all members that a claim is void.
+func (v *voyage) free(id tally.ID) {
+	msg := signal.Encode(codebook.ReleaseCall{Key: v.key, ID: id})
+	roll := v.g.o.Council.Roll()
+	for i := range roll.Voters {
+		if c := v.g.o.Council.Client(i); c != nil {
+			c.Go(codebook.Release, msg, func([]byte, error) {})
+		}
+	}
+}
+
+// claimKey claims the key. KeyAtWork: holder has it.
+func (v *voyage) claimKey() (k plight.Kind, holder tally.ID) {
+	g := v.g
+	g.Counts.Claims.Add(1)
+	begun := time.Now()
+	end := begun.Add(min(claimTime, time.Until(v.cut)))
+	for try := 0; ; try++ {
+		roll := g.o.Council.Roll()
+		vote := tally.Vote{Voters: len(roll.Voters)}
+		verdict := tally.Open
+		msg := signal.Encode(codebook.ClaimCall{Key: v.key, ID: v.claim, Epoch: roll.Epoch})
+		g.o.Council.Gather(codebook.Claim, func(int) []byte { return msg }, time.Until(end), func(t council.Told) bool {
+			var gr tally.Grant
+			if t.Err != nil || signal.Decode(t.Body, &gr) != nil {
+				vote.Missed()
+			} else {
+				vote.Add(gr)
+			}
+			verdict, holder = vote.Verdict()
+			return verdict != tally.Open
+		})
+		g.Counts.ClaimMicros.Add(time.Since(begun).Microseconds())
+		switch verdict {
+		case tally.Won:
+			return plight.OK, holder
+		case tally.Lost:
+			v.free(v.claim)
+			return plight.KeyAtWork, holder
+		case tally.Split:
+			g.Counts.Split.Add(1)
+			v.free(v.claim)
+			if try+1 >= claimTries || time.Now().After(end) {
+				return plight.KeySplit, holder
+			}
+			time.Sleep(5*time.Millisecond + rand.N(20*time.Millisecond))
+			v.claim = tally.ID{Life: g.o.Life, N: g.claim.Add(1), At: g.o.GateAddr} // the old one is void for good
+			g.book.Ask(func(b *tally.Book[*Answer]) {
+				b.Forget(v.key, v.claim)
+				if op, ok := b.Look(v.key); ok {
+					b.Forget(v.key, op.ID)
+				}
+				b.Begin(g.now(), v.key, v.claim)
+			})
+			continue
+		}
+		g.Counts.CoreOut.Add(1)
+		return plight.CoreOut, holder
+	}
+}
+
+// ofAnother answers a repeat by what the holder of the key knows, or else whoever may have run it.
+func (v *voyage) ofAnother(holder tally.ID) (*Answer, plight.Kind) {
+	o := v.recall(holder.At, holder)
+	if o.State == tally.Void && o.Plight != plight.OK { // it never ran and never will: whoever asks may try anew
+		v.free(holder)
+		return nil, plight.KeySplit
+	}
+	if o.Plight == plight.Gone || o.Plight == plight.Away || o.Plight == plight.Broken || o.Plight == plight.TimedOut {
+		var at []string
+		v.g.helm.Ask(func(h *Helm) {
+			for _, r := range h.rows {
+				for _, s := range v.route.Split {
+					if r.Service == s.Service && r.Addr != holder.At {
+						at = append(at, r.Addr)
+					}
+				}
+			}
+		})
+		ch := make(chan outcome, len(at))
+		for _, addr := range at {
+			go func() { ch <- v.recall(addr, holder) }()
+		}
+		for range at {
+			if x := <-ch; x.Plight == plight.OK && x.answer != nil || x.Plight == plight.KeyAtWork {
+				o = x
+				break
+			}
+		}
+	}
+	return v.told(o)
+}
+
+// recall asks a proxy for the answer of the key.
+func (v *voyage) recall(addr string, id tally.ID) outcome {
+	a := &ask{Kind: recall, Key: v.key, Claim: id}
+	if addr == v.g.o.GateAddr {
+		return v.g.Gate.recallHere(a, v.g.recallOwn)
+	}
+	cut := time.Now().Add(recallTime)
+	if v.cut.Before(cut) {
+		cut = v.cut
+	}
+	return v.g.hops.do(addr, a, nil, nil, cut)
+}
+
+// told is what a repeat is answered by what was recalled.
+func (v *voyage) told(o outcome) (*Answer, plight.Kind) {
+	switch {
+	case o.Plight == plight.OK && o.answer != nil:
+		v.g.Counts.Replayed.Add(1)
+		return o.answer, plight.OK
+	case o.Plight == plight.KeyAtWork:
+		return nil, plight.KeyAtWork
+	case o.State == tally.Void && o.Plight == plight.KeySplit:
+		return nil, plight.KeySplit
+	}
+	return nil, plight.KeyUnknown
+}
--- /dev/null
+++ b/internal/harbour/harbour.go
@@ -0,0 +1,626 @@
+// Package harbour is the registry of the mesh: it knows which proxies and backends there are, takes the operator's calls and
+// carries them to those that count, and brings all news to proxies, which pull what they lack. Nothing of it is on disk: what
+// it lost is told again by those who told it first. Start reading at Start.
+package harbour
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"saltmast/internal/ballot"
+	"saltmast/internal/berths"
+	"saltmast/internal/codebook"
+	"saltmast/internal/council"
+	"saltmast/internal/manifest"
+	"saltmast/internal/pilot"
+	"saltmast/internal/plight"
+	"saltmast/internal/signal"
+)
+
+// Options are what a harbourmaster is started with.
+type Options struct {
+	Self    codebook.Master // its own name, address of calls by signal, zone
+	Purser  string          // host:port of the purser beside it
+	Seeds   func() []string // hosts that serve control, as host:port; only the host counts
+	First   int             // the first of the free ports
+	Life    uint64          // random, other than 0
+	Control net.Listener    // outside calls
+	Calls   net.Listener    // calls by signal
+	Log     func(event, text string)
+}
+
+// Counts of what a harbourmaster did.
+type Counts struct {
+	Pulls, News, Changes, Refused, Rounds, Preempted, Taught atomic.Int64
+}
+
+// Harbour is one harbourmaster.
+type Harbour struct {
+	o       Options
+	own     *signal.Owner[books]
+	council *council.Council
+	server  *signal.Server
+	http    *http.Server
+	port    *pilot.Port
+	Counts  Counts
+	ended   chan struct{}
+	running sync.WaitGroup
+	round   sync.Mutex // one round at a time from here: two would only stand in each other's way
+}
+
+// books are the tables.
+type books struct {
+	h       *Harbour
+	berths  *berths.Table
+	chosen  manifest.Ballot
+	stands  manifest.Set
+	highest manifest.Ballot // of any ballot heard of
+	heard   []time.Time     // by place: when the member last spoke as one
+	pending []time.Time     // by place: since when it holds a value of which nobody knows whether it was chosen; zero: none
+	behind  []int           // by place: answers in a row that it was behind
+	masters map[string]codebook.Master
+	pulling map[string]bool
+	pullers []*puller
+}
+
+type puller struct {
+	c    signal.Call
+	m    codebook.PullCall
+	done bool
+}
+
+// Start begins to serve.
+func Start(o Options) *Harbour {
+	h := &Harbour{o: o, council: council.New(), ended: make(chan struct{})}
+	b := &books{h: h, berths: berths.New(), stands: manifest.Set{}, masters: map[string]codebook.Master{}, pulling: map[string]bool{}}
+	b.masters[o.Self.Name] = o.Self
+	h.own = signal.Own(b, 1024)
+	h.port = &pilot.Port{Change: h.change, Configure: h.configure,
+		Refused: func(k plight.Kind, text string) { h.Counts.Refused.Add(1); o.Log("refused", text) }}
+	h.http = pilot.Server(h.port)
+	go h.http.Serve(o.Control)
+	h.server = signal.Serve(o.Calls, h.handle)
+	h.running.Go(h.enrol)
+	h.running.Go(h.meet)
+	return h
+}
+
+// Close ends it.
+func (h *Harbour) Close() {
+	close(h.ended)
+	h.http.Close()
+	h.server.Close()
+	h.council.Close()
+	h.running.Wait()
+	h.own.End()
+}
+
+func (h *Harbour) over() bool {
+	select {
+	case <-h.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// pause waits, and reports whether to go on.
+func (h *Harbour) pause(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-h.ended:
+		return false
+	}
+}
+
+// Status is for the log and the console.
+type Status struct {
+	Chosen  manifest.Ballot
+	Items   int
+	Berths  []berths.Berth
+	Masters []codebook.Master
+	Roll    codebook.Roll
+	FreshMs uint32
+}
+
+// Status tells how it stands.
+func (h *Harbour) Status() (s Status) {
+	h.own.Ask(func(b *books) {
+		s = Status{Chosen: b.chosen, Items: len(b.stands), Berths: b.berths.Since(0), Roll: h.council.Roll(), FreshMs: b.fresh()}
+		for _, m := range b.masters {
+			s.Masters = append(s.Masters, m)
+		}
+	})
+	return s
+}
+
+// ---- From those that count ----
+
+const (
+	watchHold = 500 * time.Millisecond
+	pullHold  = 1000 * time.Millisecond
+	callTime  = 600 * time.Millisecond // beyond what the peer may hold a call
+)
+
+// enrol asks about until it knows who counts, then watches each of them, whatever roll there is.
+func (h *Harbour) enrol() {
+	for h.council.Roll().Epoch == 0 {
+		addrs := []string{h.o.Purser}
+		for _, s := range h.o.Seeds() {
+			if a := codebook.Beside(s, h.o.First, codebook.PurserPort); a != h.o.Purser {
+				addrs = append(addrs, a)
+			}
+		}
+		for _, a := range addrs {
+			c := signal.NewClient(a)
+			var w codebook.Watched
+			if err := c.Call(codebook.Watch, codebook.WatchCall{}, &w, callTime); err == nil && w.Roll.Epoch > 0 {
+				h.council.Take(w.Roll)
+			}
+			c.Close()
+		}
+		if h.council.Roll().Epoch == 0 && !h.pause(100*time.Millisecond) {
+			return
+		}
+	}
+	roll := h.council.Roll()
+	h.o.Log("roll", fmt.Sprintf("epoch %d, %d count", roll.Epoch, len(roll.Voters)))
+	h.own.Ask(func(b *books) {
+		n := len(roll.Voters)
+		b.heard, b.pending, b.behind = make([]time.Time, n), make([]time.Time, n), make([]int, n)
+	})
+	for i := range roll.Voters {
+		h.running.Go(func() { h.watch(i, roll) })
+	}
+}
+
+// watch follows one member.
+func (h *Harbour) watch(place int, roll codebook.Roll) {
+	for !h.over() {
+		c := h.council.Client(place)
+		if c == nil {
+			return
+		}
+		var call codebook.WatchCall
+		h.own.Ask(func(b *books) {
+			call = codebook.WatchCall{Have: b.chosen, HoldMs: uint32(watchHold.Milliseconds()), Epoch: roll.Epoch}
+		})
+		var w codebook.Watched
+		if err := c.Call(codebook.Watch, call, &w, watchHold+callTime); err != nil {
+			if !h.pause(100 * time.Millisecond) {
+				return
+			}
+			continue
+		}
+		h.own.Ask(func(b *books) { b.watched(place, w) })
+		if w.State != "serving" && !h.pause(100*time.Millisecond) {
+			return
+		}
+	}
+}
+
+// pendingTime is how long a value may be pending before a round is run to settle it.
+const pendingTime = 400 * time.Millisecond
+
+// watched takes what a member told.
+func (b *books) watched(place int, w codebook.Watched) {
+	b.raise(w.Promised)
+	b.raise(w.Accepted)
+	b.raise(w.Chosen)
+	if w.State != "serving" || w.Vouch.By != place {
+		return
+	}
+	now := time.Now()
+	b.heard[place] = now
+	b.take(w.Chosen, w.Items)
+	switch {
+	case w.Accepted.Less(b.chosen):
+		if b.behind[place]++; b.behind[place] >= 2 {
+			b.behind[place] = 0
+			b.teach(place)
+		}
+	default:
+		b.behind[place] = 0
+	}
+	switch {
+	case !b.chosen.Less(w.Accepted):
+		b.pending[place] = time.Time{}
+	case b.pending[place].IsZero():
+		b.pending[place] = now
+	case now.Sub(b.pending[place]) > pendingTime:
+		b.pending[place] = time.Time{}
+		go b.h.propose(nil) // a round that changes nothing settles what is pending
+	}
+}
+
+func (b *books) raise(x manifest.Ballot) {
+	if b.highest.Less(x) {
+		b.highest = x
+	}
+}
+
+// take takes what was chosen after what is held.
+func (b *books) take(chosen manifest.Ballot, items []manifest.Item) {
+	if !b.chosen.Less(chosen) {
+		return
+	}
+	b.stands = b.stands.Clone()
+	for _, i := range items {
+		if cur, ok := b.stands[i.Key]; !ok || cur.Ballot.Less(i.Ballot) {
+			b.stands[i.Key] = i
+		}
+	}
+	b.chosen = chosen
+	b.wake()
+}
+
+// teach tells a member that missed it what was chosen.
+func (b *books) teach(place int) {
+	c := b.h.council.Client(place)
+	if c == nil {
+		return
+	}
+	b.h.Counts.Taught.Add(1)
+	m := codebook.AcceptCall{B: b.chosen, Epoch: b.h.council.Roll().Epoch, Chosen: true}
+	for _, i := range b.stands {
+		m.Changes = append(m.Changes, i)
+	}
+	c.Go(codebook.Accept, signal.Encode(m), func([]byte, error) {})
+}
+
+// fresh is how many milliseconds ago a majority was heard last.
+func (b *books) fresh() uint32 {
+	if len(b.heard) == 0 {
+		return codebook.Never
+	}
+	at := slices.Clone(b.heard)
+	slices.SortFunc(at, func(x, y time.Time) int { return y.Compare(x) })
+	t := at[ballot.Majority(len(at))-1]
+	if t.IsZero() {
+		return codebook.Never
+	}
+	return uint32(min(time.Since(t).Milliseconds(), codebook.Never))
+}
+
+// ---- To those who pull ----
+
+func (h *Harbour) handle(c signal.Call) {
+	switch c.Kind {
+	case codebook.Pull:
+		var m codebook.PullCall
+		if err := signal.Decode(c.Body, &m); err != nil {
+			c.Reply(nil, err)
+			return
+		}
+		h.Counts.Pulls.Add(1)
+		h.own.Send(func(b *books) { b.pull(c, m) })
+	case codebook.Report:
+		h.own.Send(func(b *books) { c.Reply(b.news(codebook.PullCall{}), nil) })
+	default:
+		c.Reply(nil, plight.New(plight.NoCall, "kind %d", c.Kind))
+	}
+}
+
+func (b *books) pull(c signal.Call, m codebook.PullCall) {
+	if m.Self != nil && b.berths.Join(*m.Self) {
+		b.wake()
+	}
+	if m.Master != nil {
+		b.meet(*m.Master)
+	}
+	p := &puller{c: c, m: m}
+	if m.HoldMs == 0 || b.hasNews(p) {
+		b.answer(p)
+		return
+	}
+	b.pullers = append(b.pullers, p)
+	time.AfterFunc(time.Duration(min(m.HoldMs, 5000))*time.Millisecond, func() {
+		b.h.own.Send(func(b *books) { b.answer(p) })
+	})
+}
+
+func (b *books) hasNews(p *puller) bool {
+	return p.m.Life != b.h.o.Life || p.m.At != b.berths.At() || p.m.Have.Less(b.chosen) ||
+		p.m.Epoch != b.h.council.Roll().Epoch || p.m.Count < len(b.masters)
+}
+
+func (b *books) news(m codebook.PullCall) codebook.News {
+	n := codebook.News{Life: b.h.o.Life, At: b.berths.At(), Chosen: b.chosen, FreshMs: b.fresh()}
+	at := m.At
+	if m.Life != n.Life {
+		at = 0
+	}
+	n.Berths = b.berths.Since(at)
+	if m.Have.Less(b.chosen) {
+		n.Items = ballot.Since(b.stands, m.Have)
+	}
+	if r := b.h.council.Roll(); r.Epoch != m.Epoch {
+		n.Roll = &r
+	}
+	if m.Count < len(b.masters) {
+		for _, x := range b.masters {
+			n.Masters = append(n.Masters, x)
+		}
+	}
+	return n
+}
+
+func (b *books) answer(p *puller) {
+	if p.done {
+		return
+	}
+	p.done = true
+	b.pullers = slices.DeleteFunc(b.pullers, func(o *puller) bool { return o == p })
+	n := b.news(p.m)
+	if len(n.Berths)+len(n.Items) > 0 {
+		b.h.Counts.News.Add(1)
+	}
+	p.c.Reply(n, nil)
+}
+
+// wake answers those for whom there is news.
+func (b *books) wake() {
+	for _, p := range slices.Clone(b.pullers) {
+		if b.hasNews(p) {
+			b.answer(p)
+		}
+	}
+}
+
+// ---- Other harbourmasters ----
+
+// maxMasters bounds those that are known.
+const maxMasters = 64
+
+// meet takes note of a harbourmaster and begins to pull from it.
+func (b *books) meet(m codebook.Master) {
+	if m.Addr == "" || m.Name == "" {
+		return
+	}
+	if old, ok := b.masters[m.Name]; (!ok || old != m) && len(b.masters) < maxMasters {
+		b.masters[m.Name] = m
+		b.wake()
+	}
+	b.follow(m.Addr)
+}
+
+func (b *books) follow(addr string) {
+	if addr == b.h.o.Self.Addr || b.pulling[addr] || len(b.pulling) >= maxMasters {
+		return
+	}
+	b.pulling[addr] = true
+	b.h.running.Go(func() { b.h.follow(addr) })
+}
+
+// meet looks at the seeds from time to time: they may have changed.
+func (h *Harbour) meet() {
+	for {
+		for _, s := range h.o.Seeds() {
+			a := codebook.Beside(s, h.o.First, codebook.HarbourPort)
+			h.own.Send(func(b *books) { b.follow(a) })
+		}
+		if !h.pause(time.Second) {
+			return
+		}
+	}
+}
+
+// follow pulls the berths of another harbourmaster.
+func (h *Harbour) follow(addr string) {
+	c := signal.NewClient(addr)
+	defer c.Close()
+	call := codebook.PullCall{Master: &h.o.Self, HoldMs: uint32(pullHold.Milliseconds()), Epoch: 1 << 62}
+	for !h.over() {
+		h.own.Ask(func(b *books) { call.Count, call.Have = len(b.masters), manifest.Ballot{N: 1 << 62} })
+		call.Epoch = h.council.Roll().Epoch
+		var n codebook.News
+		if err := c.Call(codebook.Pull, call, &n, pullHold+callTime); err != nil {
+			if !h.pause(250 * time.Millisecond) {
+				return
+			}
+			continue
+		}
+		call.Life, call.At = n.Life, n.At
+		h.own.Ask(func(b *books) {
+			changed := false
+			for _, x := range n.Berths {
+				changed = b.berths.Join(x) || changed
+			}
+			for _, m := range n.Masters {
+				b.meet(m)
+			}
+			if changed {
+				b.wake()
+			}
+		})
+	}
+}
+
+// ---- The operator ----
+
+const (
+	changeTime = 850 * time.Millisecond // callers take a second of silence for a failure
+	phaseTime  = 350 * time.Millisecond
+)
+
+// change takes one call.
+func (h *Harbour) change(body []byte) error {
+	h.Counts.Changes.Add(1)
+	call, err := manifest.DecodeCall(body)
+	if err != nil {
+		return plight.New(plight.Invalid, "%w", err)
+	}
+	if err := call.Check(); err != nil {
+		return plight.New(plight.Invalid, "%w", err)
+	}
+	err = h.propose(call.Items)
+	h.o.Log("change", fmt.Sprintf("%d items: %v", len(call.Items), outcome(err)))
+	return err
+}
+
+func outcome(err error) string {
+	if err == nil {
+		return "taken"
+	}
+	return err.Error()
+}
+
+// configure reads what stands: what a majority says, and a round where that is in doubt.
+func (h *Harbour) configure() ([]byte, error) {
+	if err := h.propose(nil); err != nil {
+		return nil, err
+	}
+	var s manifest.Set
+	h.own.Ask(func(b *books) { s = b.stands })
+	return s.Encode(), nil
+}
+
+// propose runs rounds until the items are chosen, or stand already, or can't be.
+func (h *Harbour) propose(items []manifest.Item) error {
+	h.round.Lock()
+	defer h.round.Unlock()
+	end := time.Now().Add(changeTime)
+	for {
+		err := h.tryRound(items, end)
+		if k := plight.Of(err); k != plight.Preempted && k != plight.CoreOut {
+			return err
+		}
+		h.Counts.Preempted.Add(1)
+		wait := 5*time.Millisecond + rand.N(50*time.Millisecond)
+		if time.Now().Add(wait + 20*time.Millisecond).After(end) {
+			return err
+		}
+		if !h.pause(wait) {
+			return err
+		}
+	}
+}
+
+// tryRound runs one round.
+func (h *Harbour) tryRound(items []manifest.Item, end time.Time) error {
+	h.Counts.Rounds.Add(1)
+	roll := h.council.Roll()
+	n := len(roll.Voters)
+	if n == 0 {
+		return plight.New(plight.CoreOut, "nobody known that counts")
+	}
+	var b manifest.Ballot
+	h.own.Ask(func(t *books) {
+		b = manifest.Ballot{N: t.highest.N + 1, By: uint32(h.o.Life)}
+		t.raise(b)
+	})
+	r := ballot.Round{Voters: n}
+	var base manifest.Set
+	var of manifest.Ballot
+	var stands, ok bool
+	at := make(map[int]manifest.Ballot, n) // what each that promised has accepted
+	prepare := signal.Encode(codebook.PrepareCall{B: b, Epoch: roll.Epoch})
+	err := h.council.Gather(codebook.Prepare, func(int) []byte { return prepare }, min(phaseTime, time.Until(end)), func(t council.Told) bool {
+		var p ballot.Promise
+		if t.Err != nil || signal.Decode(t.Body, &p) != nil {
+			return false
+		}
+		r.Add(p)
+		at[t.Place] = p.Accepted
+		base, of, stands, ok = r.Base()
+		return ok
+	})
+	if b.Less(r.Higher) {
+		h.own.Ask(func(t *books) { t.raise(r.Higher) })
+	}
+	if !ok {
+		if b.Less(r.Higher) {
+			return plight.New(plight.Preempted, "")
+		}
+		return err
+	}
+	o := ballot.Apply(base, items, b)
+	if o.Against == nil && len(o.Changes) > 0 {
+		// A base that is invalid already, of two calls at once that were valid each, holds up nobody else's call.
+		if err := o.Next.Check(); err != nil && base.Check() == nil {
+			return plight.New(plight.Invalid, "%w", err)
+		}
+	}
+	if o.Against != nil {
+		o.Next, o.Changes = base, nil
+	}
+	if !(stands && len(o.Changes) == 0) {
+		if err := h.settle(b, of, o, at, roll, end); err != nil {
+			return err
+		}
+	} else {
+		h.own.Ask(func(t *books) { t.whole(of, base) })
+	}
+	if o.Against != nil {
+		return plight.New(plight.Conflict, "%s", o.Against)
+	}
+	return nil
+}
+
+// settle has a value accepted by a majority, and takes it.
+func (h *Harbour) settle(b, of manifest.Ballot, o ballot.Outcome, at map[int]manifest.Ballot, roll codebook.Roll, end time.Time) error {
+	whole := codebook.AcceptCall{B: b, Epoch: roll.Epoch}
+	for _, i := range o.Next {
+		whole.Changes = append(whole.Changes, i)
+	}
+	all := signal.Encode(whole)
+	part := all
+	if !of.IsZero() {
+		part = signal.Encode(codebook.AcceptCall{B: b, Base: of, Changes: o.Changes, Epoch: roll.Epoch})
+	}
+	var vs []ballot.Vouch
+	var higher manifest.Ballot
+	taken := false
+	err := h.council.Gather(codebook.Accept, func(place int) []byte {
+		if acc, ok := at[place]; ok && acc == of {
+			return part
+		}
+		return all
+	}, min(phaseTime, time.Until(end)), func(t council.Told) bool {
+		var a codebook.Accepted
+		if t.Err != nil || signal.Decode(t.Body, &a) != nil {
+			return false
+		}
+		if !a.Taken {
+			if higher.Less(a.Promised) {
+				higher = a.Promised
+			}
+			return false
+		}
+		vs = append(vs, a.Vouch)
+		taken = len(ballot.Sound(vs)) >= ballot.Majority(len(roll.Voters))
+		return taken
+	})
+	if !taken {
+		if b.Less(higher) {
+			h.own.Ask(func(t *books) { t.raise(higher) })
+			return plight.New(plight.Preempted, "")
+		}
+		return err
+	}
+	h.own.Ask(func(t *books) { t.whole(b, o.Next) })
+	learn := signal.Encode(codebook.LearnCall{B: b})
+	for i := range roll.Voters {
+		if c := h.council.Client(i); c != nil {
+			c.Go(codebook.Learn, learn, func([]byte, error) {})
+		}
+	}
+	return nil
+}
+
+// whole takes a chosen value that is known whole.
+func (b *books) whole(chosen manifest.Ballot, s manifest.Set) {
+	if b.chosen.Less(chosen) {
+		b.chosen, b.stands = chosen, s
+		b.wake()
+	}
+}
--- /dev/null
+++ b/internal/ration/ration.go
@@ -0,0 +1,73 @@
+// Package ration bounds what one machine sends beyond the first of each request, so that over all machines it stays within
+// a ratio of the requests and an allowance, in every sliding window. It is pure, and needs no word from others: each machine
+// keeps to its own part. First attempts never wait for it.
+package ration
+
+import "time"
+
+// Ration counts for one service. The zero value of Machines counts as one.
+type Ration struct {
+	Window    time.Duration
+	Ratio     float64 // further arrivals for each request, over all machines
+	Allowance float64 // further arrivals free of the ratio in each window, over all machines
+	Machines  int     // that share the allowance, as far as is known; never lowered by what is not heard
+
+	firsts, further slots
+}
+
+const (
+	// part of the ratio and of the allowance that is used: windows slide, and a machine may have been started again amid one.
+	part = 0.7
+	n    = 16 // slots of a window
+)
+
+// slots are counts in the last window, by slices of it.
+type slots struct {
+	at    int64 // the slice of the last count
+	count [n + 1]float64
+}
+
+func (s *slots) move(slice int64) {
+	for ; s.at < slice; s.at++ {
+		if slice-s.at > n+1 {
+			*s = slots{at: slice}
+			return
+		}
+		s.count[(s.at+1)%(n+1)] = 0
+	}
+}
+
+func (s *slots) add(slice int64, x float64) {
+	s.move(slice)
+	s.count[s.at%(n+1)] += x
+}
+
+func (s *slots) sum(slice int64) (t float64) {
+	s.move(slice)
+	for _, c := range s.count {
+		t += c
+	}
+	return t
+}
+
+func (r *Ration) slice(now time.Duration) int64 { return int64(now / (r.Window / n)) }
+
+// First counts a request.
+func (r *Ration) First(now time.Duration) { r.firsts.add(r.slice(now), 1) }
+
+// Further asks for x arrivals beyond the first, and takes them if they may be.
+func (r *Ration) Further(now time.Duration, x float64) bool {
+	slice := r.slice(now)
+	may := part * (r.Ratio*r.firsts.sum(slice) + r.Allowance/float64(max(1, r.Machines)))
+	if r.further.sum(slice)+x > may {
+		return false
+	}
+	r.further.add(slice, x)
+	return true
+}
+
+// Left is how many more there may be now.
+func (r *Ration) Left(now time.Duration) float64 {
+	slice := r.slice(now)
+	return part*(r.Ratio*r.firsts.sum(slice)+r.Allowance/float64(max(1, r.Machines))) - r.further.sum(slice)
+}
--- /dev/null
+++ b/internal/tally/book.go
@@ -0,0 +1,116 @@
+package tally
+
+import "time"
+
+// State of an operation, as a proxy knows it.
+type State uint8
+
+// The states.
+const (
+	AtWork  State = iota // claimed or being claimed, and not over
+	Done                 // it ran, and its answer is kept
+	Unknown              // it may have run, and there is no answer
+	Void                 // it surely did not run, and the claim is given back
+)
+
+// Op is one operation.
+type Op[A any] struct {
+	ID     ID
+	State  State
+	Answer A
+	Where  string // who may know more of it: host:port
+	size   int
+	at     time.Duration
+}
+
+// Book holds the operations of one proxy for a window, and the answers to those that are done within a bound of bytes: the
+// oldest answers go first, and what they answered is then unknown.
+type Book[A any] struct {
+	Window time.Duration
+	Bytes  int // of answers at the most
+	ops    map[string]*Op[A]
+	order  []string // in which they began; may name some twice
+	kept   []string // with answers, in the order in which they were done
+	held   int
+}
+
+// NewBook returns an empty one.
+func NewBook[A any](window time.Duration, bytes int) *Book[A] {
+	return &Book[A]{Window: window, Bytes: bytes, ops: map[string]*Op[A]{}}
+}
+
+// Begin begins an operation under id unless its key is known: then it gives what is known.
+func (b *Book[A]) Begin(now time.Duration, key string, id ID) (known Op[A], begun bool) {
+	b.expire(now)
+	if o := b.ops[key]; o != nil && o.State != Void {
+		return *o, false
+	}
+	b.ops[key] = &Op[A]{ID: id, at: now}
+	b.order = append(b.order, key)
+	return Op[A]{}, true
+}
+
+// End tells how the operation of id ended. size is what its answer takes.
+func (b *Book[A]) End(key string, id ID, s State, answer A, size int, where string) {
+	o := b.ops[key]
+	if o == nil || o.ID != id || o.State == Done {
+		return
+	}
+	o.State, o.Where = s, where
+	if s != Done {
+		return
+	}
+	o.Answer, o.size = answer, size
+	b.held += size
+	b.kept = append(b.kept, key)
+	for b.held > b.Bytes && len(b.kept) > 0 {
+		if old := b.ops[b.kept[0]]; old != nil && old.State == Done {
+			var none A
+			old.State, old.Answer = Unknown, none
+			b.held -= old.size
+			old.size = 0
+		}
+		b.kept = b.kept[1:]
+	}
+}
+
+// Look is what is known of a key.
+func (b *Book[A]) Look(key string) (Op[A], bool) {
+	o := b.ops[key]
+	if o == nil {
+		return Op[A]{}, false
+	}
+	return *o, true
+}
+
+// Forget forgets a key that id began.
+func (b *Book[A]) Forget(key string, id ID) {
+	if o := b.ops[key]; o != nil && o.ID == id {
+		b.held -= o.size
+		delete(b.ops, key)
+	}
+}
+
+// Len is how many are known, and the bytes of their answers.
+func (b *Book[A]) Len() (ops, bytes int) { return len(b.ops), b.held }
+
+func (b *Book[A]) expire(now time.Duration) {
+	n := 0
+	for ; n < len(b.order); n++ {
+		o := b.ops[b.order[n]]
+		if o == nil {
+			continue
+		}
+		if now-o.at <= b.Window {
+			break
+		}
+		if o.State == AtWork {
+			b.order = append(b.order, b.order[n]) // looked at again later
+			o.at = now
+			continue
+		}
+		b.held -= o.size
+		delete(b.ops, b.order[n])
+	}
+	b.order = b.order[n:]
+}
--- /dev/null
+++ b/internal/tug/tug.go
@@ -0,0 +1,378 @@
+// Package tug is the proxy of the mesh as a program: it takes its backend's beats, pulls news from a harbourmaster, carries
+// the traffic by package gangway and says whether it is ready. Start reading at Start.
+package tug
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"saltmast/internal/articles"
+	"saltmast/internal/berths"
+	"saltmast/internal/codebook"
+	"saltmast/internal/council"
+	"saltmast/internal/gangway"
+	"saltmast/internal/launch"
+	"saltmast/internal/manifest"
+	"saltmast/internal/pilot"
+	"saltmast/internal/plight"
+	"saltmast/internal/signal"
+)
+
+// Tug is one proxy.
+type Tug struct {
+	s       atomic.Pointer[articles.Settings]
+	log     func(event, text string)
+	way     *gangway.Gangway
+	council *council.Council
+	life    uint64
+
+	mu      sync.Mutex
+	masters []codebook.Master
+	table   *berths.Table
+	stands  manifest.Set
+	chosen  manifest.Ballot
+	news    chan struct{} // holds one when this proxy has something to tell
+	heard   time.Time     // a harbourmaster that had heard a majority
+	full    bool          // such a one has told all that there is
+
+	fronts   []net.Listener
+	servers  []*http.Server
+	stopping atomic.Bool
+	ended    chan struct{}
+	pulls    atomic.Int64
+}
+
+const (
+	pullHold = 1000 * time.Millisecond
+	pullTime = 500 * time.Millisecond // beyond what a harbourmaster may hold a pull
+	staleMs  = 1500                   // a harbourmaster that has heard no majority for so long is left for another
+	// keyMargin is how much longer than the window keys are known here: what is at work when it ends is not over.
+	keyMargin = 20 * time.Second
+)
+
+// Program is the proxy as a program.
+var Program = launch.Program{Name: "tug", About: "The proxy of the mesh: carries the requests of one machine.",
+	Start: func(s *articles.Settings, log func(event, text string)) (launch.Running, error) { return Start(s, log) }}
+
+// Start begins to serve by the settings.
+func Start(s *articles.Settings, log func(event, text string)) (*Tug, error) {
+	t := &Tug{log: log, council: council.New(), life: launch.Life(), table: berths.New(), stands: manifest.Set{},
+		news: make(chan struct{}, 1), ended: make(chan struct{})}
+	t.s.Store(s)
+	listen := func(addr string) (net.Listener, error) {
+		if addr == "" {
+			return nil, nil
+		}
+		l, err := net.Listen("tcp4", addr)
+		if err == nil {
+			t.fronts = append(t.fronts, l)
+		}
+		return l, err
+	}
+	gateAddr := s.Port(codebook.GatePort)
+	answers := 24 << 20
+	if s.MemoryMB > 0 {
+		answers = int(s.MemoryMB * (1 << 20) / 8)
+	}
+	conns := 0
+	if s.Descriptors > 0 {
+		conns = s.Descriptors / 2
+	}
+	t.way = gangway.New(gangway.Options{Node: s.NodeName, Zone: s.Zone, Service: s.Service, App: s.AppAddr, GateAddr: gateAddr,
+		Life: t.life, Begun: time.Now(), Heartbeat: s.Heartbeat, Ratio: s.Bounds.RetryRatio, Allowance: s.Bounds.RetryAllowance,
+		Window: s.Bounds.RetryWindow, KeyWindow: s.Bounds.DedupWindow + keyMargin, AnswerBytes: answers, MaxConns: conns,
+		Council: t.council, Log: log})
+	t.way.Gate.OnChange(func(berths.Berth) { t.tell() })
+	gate, err := signal.Listen(gateAddr)
+	if err != nil {
+		return nil, fmt.Errorf("gate: %w", err)
+	}
+	t.fronts = append(t.fronts, gate)
+	out, err := listen(s.Listen["outbound"])
+	if err != nil || out == nil {
+		return nil, fmt.Errorf("outbound: %w", orMissing(err))
+	}
+	control, err := listen(s.Listen["control-plane"])
+	if err != nil {
+		return nil, fmt.Errorf("control-plane: %w", err)
+	}
+	ready, err := listen(s.Listen["readiness"])
+	if err != nil {
+		return nil, fmt.Errorf("readiness: %w", err)
+	}
+	t.http(control, &pilot.Port{Beat: t.way.Gate.Beat, Leave: t.way.Gate.Leave, Refused: t.refused})
+	t.http(ready, &pilot.Port{Ready: t.ready})
+	go t.way.ServeGate(gate)
+	go t.way.Serve(out)
+	go t.pull()
+	go t.watch()
+	return t, nil
+}
+
+func orMissing(err error) error {
+	if err == nil {
+		return fmt.Errorf("no address told")
+	}
+	return err
+}
+
+func (t *Tug) http(l net.Listener, p *pilot.Port) {
+	if l == nil {
+		return
+	}
+	s := pilot.Server(p)
+	t.servers = append(t.servers, s)
+	go s.Serve(l)
+}
+
+func (t *Tug) refused(k plight.Kind, text string) { t.log("refused", text) }
+
+// ready says whether clients may come: with a configuration, and with all that a harbourmaster had to tell.
+func (t *Tug) ready() error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.stopping.Load():
+		return plight.New(plight.Leaving, "")
+	case !t.way.Configured() || !t.full:
+		return plight.New(plight.NotReady, "")
+	}
+	return nil
+}
+
+// tell has the next pull go out at once.
+func (t *Tug) tell() {
+	select {
+	case t.news <- struct{}{}:
+	default:
+	}
+}
+
+// watch looks at what comes with time alone.
+func (t *Tug) watch() {
+	tick := time.NewTicker(500 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case now := <-tick.C:
+			t.way.Gate.Watch(now)
+		case <-t.ended:
+			return
+		}
+	}
+}
+
+// candidates are the harbourmasters to pull from: of this zone first, then the others, then the seeds.
+func (t *Tug) candidates() []string {
+	s := t.s.Load()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var near, far []string
+	for _, m := range t.masters {
+		if m.Zone == s.Zone {
+			near = append(near, m.Addr)
+		} else {
+			far = append(far, m.Addr)
+		}
+	}
+	for _, x := range s.Seeds {
+		a := codebook.Beside(x, s.Ports[0], codebook.HarbourPort)
+		if !slices.Contains(near, a) && !slices.Contains(far, a) {
+			far = append(far, a)
+		}
+	}
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	return append(near, far...)
+}
+
+// pull keeps pulling, from one harbourmaster as long as it answers and has heard a majority, else from the next.
+func (t *Tug) pull() {
+	for {
+		some := false
+		for _, addr := range t.candidates() {
+			if t.pullFrom(addr) {
+				some = true
+				break
+			}
+			if t.over() {
+				return
+			}
+		}
+		if !some {
+			select {
+			case <-time.After(50*time.Millisecond + rand.N(100*time.Millisecond)):
+			case <-t.ended:
+				return
+			}
+		}
+	}
+}
+
+func (t *Tug) over() bool {
+	select {
+	case <-t.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// pullFrom pulls from one harbourmaster until that is of no more use. good: it was of some.
+func (t *Tug) pullFrom(addr string) (good bool) {
+	c := signal.NewClient(addr)
+	defer c.Close()
+	type result struct {
+		body []byte
+		err  error
+	}
+	s := t.s.Load()
+	call := codebook.PullCall{HoldMs: uint32(pullHold.Milliseconds())}
+	began := time.Now()
+	for !t.over() {
+		b := t.way.Gate.Berth()
+		t.mu.Lock()
+		call.Self, call.Have, call.Count, call.Epoch = &b, t.chosen, len(t.masters), t.council.Roll().Epoch
+		t.mu.Unlock()
+		done := make(chan result, 1)
+		id := c.Go(codebook.Pull, signal.Encode(call), func(body []byte, err error) { done <- result{body, err} })
+		timer := time.NewTimer(pullHold + pullTime)
+		var r result
+		var n codebook.News
+		told := false
+	wait:
+		for {
+			select {
+			case r = <-done:
+				break wait
+			case <-t.news: // told beside the pull that waits
+				b := t.way.Gate.Berth()
+				c.Go(codebook.Pull, signal.Encode(codebook.PullCall{Self: &b, Life: call.Life, At: ^uint64(0), Have: call.Have, Count: 1 << 20, Epoch: call.Epoch}), func([]byte, error) {})
+			case <-timer.C:
+				c.Forget(id)
+				r.err = plight.New(plight.TimedOut, "")
+				break wait
+			case <-t.ended:
+				timer.Stop()
+				return true
+			}
+		}
+		timer.Stop()
+		_ = told
+		if r.err != nil || signal.Decode(r.body, &n) != nil {
+			return false
+		}
+		t.pulls.Add(1)
+		good = true
+		call.Life, call.At = n.Life, n.At
+		t.take(n)
+		if n.FreshMs > staleMs && (time.Since(began) > time.Second || n.FreshMs >= codebook.Never && time.Since(began) > 300*time.Millisecond) {
+			return false // it hears no majority: another may
+		}
+		if len(t.masters) > 0 && time.Since(began) > 5*time.Second && !t.near(addr, s.Zone) {
+			return true // perhaps one of this zone is back
+		}
+	}
+	return true
+}
+
+// near reports whether a harbourmaster is of this zone, or none is.
+func (t *Tug) near(addr, zone string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	some := false
+	for _, m := range t.masters {
+		if m.Zone == zone {
+			some = true
+			if m.Addr == addr {
+				return true
+			}
+		}
+	}
+	return !some
+}
+
+// take takes news.
+func (t *Tug) take(n codebook.News) {
+	if n.Roll != nil && t.council.Take(*n.Roll) {
+		t.log("roll", fmt.Sprintf("epoch %d, %d count", n.Roll.Epoch, len(n.Roll.Voters)))
+	}
+	var news []berths.Berth
+	var chart *manifest.Chart
+	t.mu.Lock()
+	if len(n.Masters) > 0 {
+		for _, m := range n.Masters {
+			if i := slices.IndexFunc(t.masters, func(o codebook.Master) bool { return o.Name == m.Name }); i >= 0 {
+				t.masters[i] = m
+			} else {
+				t.masters = append(t.masters, m)
+			}
+		}
+	}
+	node := t.s.Load().NodeName
+	for _, b := range n.Berths {
+		if t.table.Join(b) {
+			news = append(news, b)
+		}
+	}
+	if t.chosen.Less(n.Chosen) { // what is in force never goes back
+		t.chosen = n.Chosen
+		for _, i := range n.Items {
+			if cur, ok := t.stands[i.Key]; !ok || cur.Version < i.Version {
+				t.stands[i.Key] = i
+			}
+		}
+		chart = t.stands.Chart()
+	}
+	if n.FreshMs <= staleMs && !n.Chosen.IsZero() {
+		t.heard, t.full = time.Now(), true
+	}
+	t.mu.Unlock()
+	if chart != nil {
+		t.way.Configure(chart)
+		t.log("configuration", fmt.Sprintf("ballot %d: %d items changed", n.Chosen.N, len(n.Items)))
+	}
+	if len(news) > 0 {
+		t.way.Learn(news)
+	}
+	for _, b := range news {
+		if b.Node == node {
+			t.way.Gate.Refute(b)
+		}
+	}
+}
+
+// Reload takes other settings: seeds alone may change while it runs.
+func (t *Tug) Reload(s *articles.Settings) { t.s.Store(s) }
+
+// Counts are for the log.
+func (t *Tug) Counts() map[string]int64 {
+	out := t.way.Report()
+	out["pulls"] = t.pulls.Load()
+	return out
+}
+
+// Stop ends in order: not ready, told to others, clients served until they have heard, what is under way finished.
+func (t *Tug) Stop(grace time.Duration) {
+	begun := time.Now()
+	t.stopping.Store(true)
+	t.way.Gate.Withdraw()
+	t.way.Drain()
+	const hear = 2500 * time.Millisecond // the platform asks each second, and twice
+	time.Sleep(min(hear, grace/2))
+	for _, l := range t.fronts {
+		l.Close()
+	}
+	t.way.Stop(grace - time.Since(begun))
+	close(t.ended)
+	for _, s := range t.servers {
+		s.Close()
+	}
+	t.council.Close()
+}
