Keyed: a repeat's answer bears its own id; large keyed bodies stream under their claim

Cause: a repeat got the first's attempt id, and a keyed body over 64 KB was turned away with 413. Change: id rewritten on replay, body streamed once after the claim.

--- a/internal/gangway/keyed.go
+++ b/internal/gangway/keyed.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"saltmast/internal/codebook"
@@ -24,9 +25,6 @@
 	if v.key = v.r.Header.Get(HeaderKey); v.key == "" || len(v.key) > 512 {
 		return nil, plight.Unreadable
 	}
-	if v.rest != nil {
-		return nil, plight.BodyTooLong // what can't be kept can't be claimed for: nothing of it may be half sent
-	}
 	id := tally.ID{Life: g.o.Life, N: g.claim.Add(1), At: g.o.GateAddr}
 	var known tally.Op[*Answer]
 	begun := false
@@ -188,7 +186,7 @@
 	switch {
 	case o.Plight == plight.OK && o.answer != nil:
 		v.g.Counts.Replayed.Add(1)
-		return o.answer, plight.OK
+		return o.answer.under(v.r.Header.Get(HeaderID)), plight.OK
 	case o.Plight == plight.KeyAtWork:
 		return nil, plight.KeyAtWork
 	case o.State == tally.Void && o.Plight == plight.KeySplit:
@@ -196,3 +194,15 @@
 	}
 	return nil, plight.KeyUnknown
 }
+
+// under is an answer as it goes to a repeat of its request, which has an id of its own.
+func (a *Answer) under(id string) *Answer {
+	b := *a
+	b.Header = slices.Clone(a.Header)
+	for i, f := range b.Header {
+		if f.Name == HeaderID {
+			b.Header[i].Value = id
+		}
+	}
+	return &b
+}
