Hold: room on the disk is taken before a page needs it

Need: on a disk that others had filled, the log could not be moved as the file had to grow; after 2 MiB more every write was refused, deletions too. Change: hold.db grows by 256 KiB at a time, taken when a put needs it, and its bound follows what it has; a put without room is refused, moving the log never is.

--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -32,7 +32,6 @@
 
 const (
 	defaultMax = 64 << 20
-	minPages   = 16
 	groupPuts  = 512       // of one transaction, unless one Write has more
 	groupBytes = 512 << 10 // the same in bytes
 	hungAfter  = 2 * time.Second
@@ -46,7 +45,7 @@
 // Options are what a hold is opened with.
 type Options struct {
 	Dir      string       // of the files; made when missing
-	MaxBytes int64        // of the file hold.db; 64 MiB if zero, 64 KiB at least. The log beside it takes up to 3 MiB more, 9 MiB while hold.db can't be written
+	MaxBytes int64        // of the file hold.db; rounded up to 256 KiB; 64 MiB if zero. The log beside it takes up to 3 MiB more, 9 MiB while hold.db can't be written
 	Log      func(string) // hears of damage, and of a disk that fails and is well again; called from the hold's goroutine, must not block; may be nil
 }
 
@@ -129,9 +128,10 @@
 	each  func(key, value []byte) error
 }
 
-// Open opens the hold in a folder, or begins one, and looks at all that is there: some 2 ms per MB. An error means that
-// nothing can be opened now: the folder is refused, the disk full, the file held by another process or of another version of
-// the schema. The caller may serve without and try again.
+// Open opens the hold in a folder, or begins one, and looks at all that is there: some 10 ms of processor per MB. An error
+// means that nothing can be opened now: the folder is refused, the disk full, the file held by another process or of another
+// version of the schema. The caller may serve without and try again; Damaged beside an error is told this once all the same.
+// A hold that is there opens on a full disk too, and can be loaded. One process opens a folder once at a time.
 func Open(o Options) (*Hold, Start, error) {
 	if o.MaxBytes == 0 {
 		o.MaxBytes = defaultMax
@@ -226,7 +226,8 @@
 	}
 }
 
-// Stalled is how long the disk's work under way has taken so far: a commit, or moving the log; 0: there is none.
+// Stalled is how long the work under way has taken so far: a commit and its answers, moving the log, a Load; 0: there is
+// none.
 func (h *Hold) Stalled() time.Duration {
 	since := h.since.Load()
 	if since == 0 {
@@ -382,6 +383,9 @@
 			answer(group, err)
 			return
 		}
+		if h.db != nil && h.db.grow() == nil {
+			continue
+		}
 		// There was no room for one Write: those before it pass without it, and it is answered in its turn.
 		h.write(group[:at])
 		answer(group[at:at+1], err)
--- a/internal/hold/lite.go
+++ b/internal/hold/lite.go
@@ -9,6 +9,7 @@
 	"hash/crc32"
 	"io"
 	"net/url"
+	"os"
 
 	sqlite3 "github.com/mattn/go-sqlite3"
 )
@@ -24,6 +25,8 @@
 	// checkpoint moves what the log (the -wal file) holds into the database, or only counts: frames of the log that are in
 	// force, and those of them that the database has for certain.
 	checkpoint(move bool) (frames, moved int, err error)
+	// grow takes room on the disk for more pages. Until then puts that need them fail, as moving the log would.
+	grow() error
 	close() error // moves the log first, if it can
 }
 
@@ -36,6 +39,7 @@
 	walHeader     = 32
 	walFrame      = 24 + pageSize
 	sumLen        = 4
+	chunkPages    = 64 // hold.db grows by so many: 256 KiB
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -59,6 +63,8 @@
 	args                                                            [3]driver.NamedValue
 	tables                                                          [256]driver.Value // boxed once
 	buf                                                             []byte
+	path                                                            string
+	pages, most                                                     int64 // that the file may have now, and ever
 }
 
 var background = context.Background()
@@ -71,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &lite{c: conn.(*sqlite3.SQLiteConn)}
+	l := &lite{c: conn.(*sqlite3.SQLiteConn), path: path, pages: maxPages, most: maxPages}
 	for _, q := range []string{
 		fmt.Sprintf("PRAGMA page_size=%d", pageSize),
 		"PRAGMA temp_store=MEMORY", "PRAGMA mmap_size=0", "PRAGMA cache_size=-1024", "PRAGMA cell_size_check=ON",
@@ -83,6 +89,9 @@
 		}
 	}
 	mode, err := l.ask("PRAGMA journal_mode=WAL")
+	if err == nil {
+		err = l.c.SetFileControlInt("main", sqlite3.SQLITE_FCNTL_CHUNK_SIZE, chunkPages*pageSize)
+	}
 	if err == nil && mode[0] != "wal" {
 		err = fmt.Errorf("the journal's mode is %v, not wal", mode[0])
 	}
@@ -241,11 +250,56 @@
 	if err := rows.Next(row[:]); err != nil {
 		return 0, 0, err
 	}
+	rows.Close()
+	if move {
+		if err := l.fit(); err != nil {
+			return 0, 0, err
+		}
+	}
 	a, _ := row[1].(int64)
 	b, _ := row[2].(int64)
 	return int(max(a, 0)), int(max(b, 0)), nil
 }
 
+// fit lets the file have the pages that it has room for on the disk, so that moving the log never needs more. SQLite cuts
+// it to a whole number of chunks with each moving.
+func (l *lite) fit() error {
+	info, err := os.Stat(l.path)
+	if err != nil {
+		return err
+	}
+	return l.bound(min(info.Size()/pageSize, l.most))
+}
+
+func (l *lite) bound(pages int64) error {
+	if pages == l.pages {
+		return nil
+	}
+	_, err := l.c.Exec(fmt.Sprintf("PRAGMA max_page_count=%d", max(pages, 1)), nil)
+	if err == nil {
+		l.pages = pages
+	}
+	return err
+}
+
+func (l *lite) grow() error {
+	if l.pages >= l.most {
+		return errors.New("the file's bound is reached")
+	}
+	// SQLite writes a byte to each block. Its error doesn't reach the driver: what counts is how far it came.
+	before := l.pages
+	if err := l.c.SetFileControlInt64("main", sqlite3.SQLITE_FCNTL_SIZE_HINT, (l.pages+1)*pageSize); err != nil {
+		return err
+	}
+	if err := l.fit(); err != nil {
+		return err
+	}
+	if l.pages <= before {
+		return errors.New("the disk has no room for more pages")
+	}
+	return nil
+}
+
 func (l *lite) close() error {
 	for _, s := range []*sqlite3.SQLiteStmt{l.sBegin, l.sCommit, l.sRollback, l.sPut, l.sDelete, l.sEach, l.sMove, l.sCount} {
 		if s != nil {
--- a/internal/hold/open.go
+++ b/internal/hold/open.go
@@ -73,7 +73,7 @@
 			err = &damageError{e.Error()}
 		}
 	}()
-	if l, err = connect(path, max(o.MaxBytes/pageSize, minPages)); err != nil {
+	if l, err = connect(path, max((o.MaxBytes+chunkPages*pageSize-1)/(chunkPages*pageSize), 1)*chunkPages); err != nil {
 		return l, start, err
 	}
 	version, err := l.ask("PRAGMA user_version")
