Relays: a proxy cut off from the core claims and hears news through its neighbours

Cause: with a quarter of the proxies cut off from all that count, keyed requests there were refused for the whole cut (88 to 106 of 800 in 2 s) though other proxies were in reach. Ruled out: clients, backends, hops, which all went on. Change: a claim without a verdict after 60 ms is made by another proxy beside (one id, members grant it again), news and own berth pass through another proxy while no harbourmaster answers.

--- a/internal/codebook/codebook.go
+++ b/internal/codebook/codebook.go
@@ -161,6 +161,7 @@
 	Epoch  uint64          `cbor:"6,keyasint"`           // of the roll
 	Count  int             `cbor:"7,keyasint"`           // harbourmasters that the caller knows
 	HoldMs uint32          `cbor:"8,keyasint"`
+	Others []berths.Berth  `cbor:"9,keyasint,omitempty"` // of tugs that reach no harbourmaster and told this one
 }
 
 // Never is the FreshMs of a harbourmaster that has not heard a majority yet.
--- a/internal/gangway/gangway.go
+++ b/internal/gangway/gangway.go
@@ -14,6 +14,7 @@
 	"saltmast/internal/berths"
 	"saltmast/internal/council"
 	"saltmast/internal/manifest"
+	"saltmast/internal/plight"
 	"saltmast/internal/signal"
 	"saltmast/internal/tally"
 )
@@ -47,6 +48,7 @@
 	MaxConns    int           // of clients
 
 	Council *council.Council
+	News    func(call []byte) ([]byte, error) // answers a PullCall of another proxy; nil: none are
 	Log     func(event, text string)
 }
 
@@ -58,6 +60,7 @@
 	book  *signal.Owner[tally.Book[*Answer]]
 	hops  *hops
 	claim atomic.Uint64
+	out   atomic.Int64 // since the start, until when no majority is expected to answer this proxy
 	chart atomic.Pointer[manifest.Chart]
 
 	stopping atomic.Bool
@@ -72,7 +75,7 @@
 type Counts struct {
 	Requests, Served, Late, Errors, Refused, NoRoute, Bad           atomic.Int64
 	Attempts, Retries, Claims, Lost, Split, CoreOut, Replayed, Void atomic.Int64
-	ClaimMicros, HopFull                                            atomic.Int64
+	ClaimMicros, HopFull, Relays, Relayed                           atomic.Int64
 	ByKind                                                          [32]atomic.Int64 // own answers, by plight
 }
 
@@ -103,7 +106,49 @@
 func (g *Gangway) Serve(l net.Listener) { g.serve(l) }
 
 // ServeGate takes other proxies until the listener closes.
-func (g *Gangway) ServeGate(l net.Listener) { g.Gate.Serve(l, g.recallOwn) }
+func (g *Gangway) ServeGate(l net.Listener) { g.Gate.Serve(l, g.forOther) }
+
+// forOther does for another proxy what is no request.
+func (g *Gangway) forOther(a *ask, body []byte) outcome {
+	switch a.Kind {
+	case recall:
+		return g.Gate.recallHere(a, g.recallOwn)
+	case claimFor:
+		g.Counts.Relayed.Add(1)
+		verdict, holder := g.vote(a.Key, a.Claim, min(relayTime, time.Duration(a.Left)*time.Millisecond))
+		return outcome{told: told{Verdict: verdict, Holder: &holder}}
+	case newsFor:
+		if g.o.News == nil {
+			return outcome{told: told{Plight: plight.NotReady}}
+		}
+		answer, err := g.o.News(body)
+		if err != nil {
+			return outcome{told: told{Plight: plight.Of(err)}}
+		}
+		return outcome{answer: &Answer{Body: answer, Length: int64(len(answer))}}
+	}
+	return outcome{told: told{Plight: plight.NoCall}}
+}
+
+// AskNews asks another proxy, drawn among those that can be reached, for news.
+func (g *Gangway) AskNews(call []byte, wait time.Duration) ([]byte, error) {
+	at := g.relays(1)
+	if len(at) == 0 {
+		return nil, plight.New(plight.Away, "no other proxy known")
+	}
+	o := g.hops.do(at[0], &ask{Kind: newsFor, Length: int64(len(call))}, call, nil, time.Now().Add(wait))
+	if o.answer == nil || o.answer.Rest != nil {
+		o.answer.Close(false)
+		return nil, plight.New(plight.Away, "%s", at[0])
+	}
+	return o.answer.Body, nil
+}
+
+// relays draws up to n other proxies that can be reached, as far as is known.
+func (g *Gangway) relays(n int) (at []string) {
+	g.helm.Ask(func(h *Helm) { at = h.Relays(g.now(), n) })
+	return at
+}
 
 // recallOwn tells what is known here of a key that was claimed here.
 func (g *Gangway) recallOwn(a *ask) outcome {
@@ -111,7 +156,7 @@
 	known := false
 	g.book.Ask(func(b *tally.Book[*Answer]) { op, known = b.Look(a.Key) })
 	o := recalled(op, known, a.Claim)
-	if !known && a.Claim.Life == g.o.Life { // of this life, and forgotten or never sent: it is void
+	if a.Claim.Life == g.o.Life && (!known || op.ID != a.Claim) { // of this life, and not the one that was sent: it is void
 		o.State = tally.Void
 	}
 	return o
@@ -145,6 +190,7 @@
 		"no_route": c.NoRoute.Load(), "bad": c.Bad.Load(), "attempts": c.Attempts.Load(), "retries": c.Retries.Load(),
 		"claims": c.Claims.Load(), "claims_lost": c.Lost.Load(), "claims_split": c.Split.Load(), "core_out": c.CoreOut.Load(),
 		"replayed": c.Replayed.Load(), "claims_void": c.Void.Load(), "claim_us": c.ClaimMicros.Load(), "hop_full": c.HopFull.Load(),
+		"relays": c.Relays.Load(), "relayed": c.Relayed.Load(),
 		"gate_asks": q.Asks.Load(), "gate_sent": q.Sent.Load(), "gate_full": q.Full.Load(), "gate_leaving": q.Leaving.Load(),
 		"gate_elsewhere": q.Elsewhere.Load(), "gate_away": q.Away.Load(), "gate_turned": q.TurnedAway.Load(),
 		"gate_failed": q.Failed.Load(), "gate_broken": q.Broken.Load(), "gate_timeout": q.TimedOut.Load(), "gate_strange": q.Strange.Load(),
--- a/internal/gangway/gate.go
+++ b/internal/gangway/gate.go
@@ -625,7 +625,7 @@
 // ---- Asks from other proxies ----
 
 // Serve takes asks from other proxies until the listener closes.
-func (g *Gate) Serve(l net.Listener, own func(a *ask) outcome) {
+func (g *Gate) Serve(l net.Listener, own func(a *ask, body []byte) outcome) {
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -662,7 +662,7 @@
 	}
 }
 
-func (g *Gate) serve(c net.Conn, own func(a *ask) outcome) {
+func (g *Gate) serve(c net.Conn, own func(a *ask, body []byte) outcome) {
 	in := bufio.NewReaderSize(c, 4<<10)
 	for {
 		c.SetReadDeadline(time.Now().Add(hopIdle + 5*time.Second))
@@ -674,17 +674,19 @@
 		var body []byte
 		var rest io.Reader
 		switch {
-		case a.Kind == recall:
-			o = g.recallHere(&a, own)
-		case a.Kind != run:
-			return
 		case a.Length >= 0 && a.Length <= keepBytes:
 			body = make([]byte, a.Length)
 			if _, err := io.ReadFull(in, body); err != nil {
 				return
 			}
 			c.SetReadDeadline(time.Time{})
-			o = g.run(&a, body, nil)
+			if a.Kind == run {
+				o = g.run(&a, body, nil)
+			} else {
+				o = own(&a, body)
+			}
+		case a.Kind != run:
+			return
 		default:
 			rest = &pieceReader{in: in}
 			c.SetReadDeadline(time.Time{})
--- a/internal/gangway/helm.go
+++ b/internal/gangway/helm.go
@@ -221,3 +221,20 @@
 	h.bucket.Spend(cost)
 	return wait, true
 }
+
+// Relays draws up to n other proxies that can be reached, as far as is known.
+func (h *Helm) Relays(now time.Duration, n int) (at []string) {
+	seen := 0
+	for _, r := range h.rows {
+		if r.Node == h.Node || now < r.awayTill {
+			continue
+		}
+		seen++
+		if len(at) < n {
+			at = append(at, r.Addr)
+		} else if i := h.Rand.IntN(seen); i < n {
+			at[i] = r.Addr
+		}
+	}
+	return at
+}
--- a/internal/gangway/hop.go
+++ b/internal/gangway/hop.go
@@ -23,8 +23,10 @@
 
 // Kinds of an ask.
 const (
-	run    uint8 = iota // run this request
-	recall              // tell the answer of this key, if it is known
+	run      uint8 = iota // run this request
+	recall                // tell the answer of this key, if it is known
+	claimFor              // claim this key, for a proxy that reaches no majority
+	newsFor               // tell the news, to a proxy that reaches no harbourmaster: the body is a PullCall, the answer's News
 )
 
 // pieces is the length of a body that comes in pieces.
@@ -74,6 +76,9 @@
 	Waiting int         `cbor:"7,keyasint"` // and before it
 	WorkMs  uint32      `cbor:"8,keyasint"` // from the send to the answer
 	State   tally.State `cbor:"9,keyasint"` // of a recall
+
+	Verdict tally.Verdict `cbor:"10,keyasint,omitempty"` // of a claim
+	Holder  *tally.ID     `cbor:"11,keyasint,omitempty"`
 }
 
 // appendMessage appends a head and what is there of the body.
--- a/internal/gangway/keyed.go
+++ b/internal/gangway/keyed.go
@@ -93,20 +93,8 @@
 	begun := time.Now()
 	end := begun.Add(min(claimTime, time.Until(v.cut)))
 	for try := 0; ; try++ {
-		roll := g.o.Council.Roll()
-		vote := tally.Vote{Voters: len(roll.Voters)}
-		verdict := tally.Open
-		msg := signal.Encode(codebook.ClaimCall{Key: v.key, ID: v.claim, Epoch: roll.Epoch})
-		g.o.Council.Gather(codebook.Claim, func(int) []byte { return msg }, time.Until(end), func(t council.Told) bool {
-			var gr tally.Grant
-			if t.Err != nil || signal.Decode(t.Body, &gr) != nil {
-				vote.Missed()
-			} else {
-				vote.Add(gr)
-			}
-			verdict, holder = vote.Verdict()
-			return verdict != tally.Open
-		})
+		var verdict tally.Verdict
+		verdict, holder = g.claimAnyhow(v.key, v.claim, time.Until(end))
 		g.Counts.ClaimMicros.Add(time.Since(begun).Microseconds())
 		switch verdict {
 		case tally.Won:
@@ -121,12 +109,10 @@
 				return plight.KeySplit, holder
 			}
 			time.Sleep(5*time.Millisecond + rand.N(20*time.Millisecond))
-			v.claim = tally.ID{Life: g.o.Life, N: g.claim.Add(1), At: g.o.GateAddr} // the old one is void for good
+			old := v.claim // void for good
+			v.claim = tally.ID{Life: g.o.Life, N: g.claim.Add(1), At: g.o.GateAddr}
 			g.book.Ask(func(b *tally.Book[*Answer]) {
-				b.Forget(v.key, v.claim)
-				if op, ok := b.Look(v.key); ok {
-					b.Forget(v.key, op.ID)
-				}
+				b.Forget(v.key, old)
 				b.Begin(g.now(), v.key, v.claim)
 			})
 			continue
@@ -136,6 +122,89 @@
 	}
 }
 
+const (
+	relayAfter = 60 * time.Millisecond // without a verdict, another proxy is asked to claim as well
+	relayTime  = 250 * time.Millisecond
+	outFor     = time.Second // after a claim that no majority answered, others are asked at once
+)
+
+// claimAnyhow claims a key with the members, and by another proxy beside where they are slow to answer this one: a machine
+// that is cut off from the core often still reaches its neighbours. One id may be claimed along several ways: members grant
+// it again.
+func (g *Gangway) claimAnyhow(key string, id tally.ID, wait time.Duration) (tally.Verdict, tally.ID) {
+	type result struct {
+		verdict tally.Verdict
+		holder  tally.ID
+		direct  bool
+	}
+	ch := make(chan result, 2)
+	go func() {
+		v, h := g.vote(key, id, wait)
+		ch <- result{v, h, true}
+	}()
+	after := relayAfter
+	if g.now() < time.Duration(g.out.Load()) {
+		after = 0
+	}
+	t := time.NewTimer(after)
+	defer t.Stop()
+	under := 1
+	for under > 0 {
+		select {
+		case r := <-ch:
+			under--
+			if r.direct {
+				if r.verdict != tally.Open {
+					g.out.Store(0)
+				} else {
+					g.out.Store(int64(g.now() + outFor))
+				}
+			}
+			if r.verdict != tally.Open {
+				return r.verdict, r.holder
+			}
+		case <-t.C:
+			at := g.relays(1)
+			if len(at) == 0 {
+				continue
+			}
+			g.Counts.Relays.Add(1)
+			under++
+			go func() {
+				a := &ask{Kind: claimFor, Key: key, Claim: id, Left: uint32(wait.Milliseconds())}
+				o := g.hops.do(at[0], a, nil, nil, time.Now().Add(wait))
+				r := result{verdict: o.Verdict}
+				if o.err != nil || o.Plight != plight.OK {
+					r.verdict = tally.Open
+				}
+				if o.Holder != nil {
+					r.holder = *o.Holder
+				}
+				ch <- r
+			}()
+		}
+	}
+	return tally.Open, tally.ID{}
+}
+
+// vote claims a key with the members.
+func (g *Gangway) vote(key string, id tally.ID, wait time.Duration) (verdict tally.Verdict, holder tally.ID) {
+	roll := g.o.Council.Roll()
+	vote := tally.Vote{Voters: len(roll.Voters)}
+	msg := signal.Encode(codebook.ClaimCall{Key: key, ID: id, Epoch: roll.Epoch})
+	g.o.Council.Gather(codebook.Claim, func(int) []byte { return msg }, wait, func(t council.Told) bool {
+		var gr tally.Grant
+		if t.Err != nil || signal.Decode(t.Body, &gr) != nil {
+			vote.Missed()
+		} else {
+			vote.Add(gr)
+		}
+		verdict, holder = vote.Verdict()
+		return verdict != tally.Open
+	})
+	return verdict, holder
+}
+
 // ofAnother answers a repeat by what the holder of the key knows, or else whoever may have run it.
 func (v *voyage) ofAnother(holder tally.ID) (*Answer, plight.Kind) {
 	o := v.recall(holder.At, holder)
--- a/internal/harbour/harbour.go
+++ b/internal/harbour/harbour.go
@@ -311,7 +311,11 @@
 }
 
 func (b *books) pull(c signal.Call, m codebook.PullCall) {
-	if m.Self != nil && b.berths.Join(*m.Self) {
+	news := m.Self != nil && b.berths.Join(*m.Self)
+	for _, x := range m.Others {
+		news = b.berths.Join(x) || news
+	}
+	if news {
 		b.wake()
 	}
 	if m.Master != nil {
--- a/internal/tug/tug.go
+++ b/internal/tug/tug.go
@@ -37,15 +37,17 @@
 	table   *berths.Table
 	stands  manifest.Set
 	chosen  manifest.Ballot
-	news    chan struct{} // holds one when this proxy has something to tell
-	heard   time.Time     // a harbourmaster that had heard a majority
-	full    bool          // such a one has told all that there is
+	news    chan struct{}  // holds one when this proxy has something to tell
+	heard   time.Time      // a harbourmaster that had heard a majority
+	full    bool           // such a one has told all that there is
+	others  []berths.Berth // of proxies that reach no harbourmaster, to be told on
 
 	fronts   []net.Listener
 	servers  []*http.Server
 	stopping atomic.Bool
 	ended    chan struct{}
 	pulls    atomic.Int64
+	byOther  atomic.Int64
 }
 
 const (
@@ -87,7 +89,7 @@
 	t.way = gangway.New(gangway.Options{Node: s.NodeName, Zone: s.Zone, Service: s.Service, App: s.AppAddr, GateAddr: gateAddr,
 		Life: t.life, Begun: time.Now(), Heartbeat: s.Heartbeat, Ratio: s.Bounds.RetryRatio, Allowance: s.Bounds.RetryAllowance,
 		Window: s.Bounds.RetryWindow, KeyWindow: s.Bounds.DedupWindow + keyMargin, AnswerBytes: answers, MaxConns: conns,
-		Council: t.council, Log: log})
+		Council: t.council, News: t.newsFor, Log: log})
 	t.way.Gate.OnChange(func(berths.Berth) { t.tell() })
 	gate, err := signal.Listen(gateAddr)
 	if err != nil {
@@ -204,6 +206,7 @@
 			if t.over() {
 				return
 			}
+			t.pullBy()
 		}
 		if !some {
 			select {
@@ -239,13 +242,13 @@
 		b := t.way.Gate.Berth()
 		t.mu.Lock()
 		call.Self, call.Have, call.Count, call.Epoch = &b, t.chosen, len(t.masters), t.council.Roll().Epoch
+		call.Others = slices.Clone(t.others)
 		t.mu.Unlock()
 		done := make(chan result, 1)
 		id := c.Go(codebook.Pull, signal.Encode(call), func(body []byte, err error) { done <- result{body, err} })
 		timer := time.NewTimer(pullHold + pullTime)
 		var r result
 		var n codebook.News
-		told := false
 	wait:
 		for {
 			select {
@@ -253,7 +256,10 @@
 				break wait
 			case <-t.news: // told beside the pull that waits
 				b := t.way.Gate.Berth()
-				c.Go(codebook.Pull, signal.Encode(codebook.PullCall{Self: &b, Life: call.Life, At: ^uint64(0), Have: call.Have, Count: 1 << 20, Epoch: call.Epoch}), func([]byte, error) {})
+				t.mu.Lock()
+				others := slices.Clone(t.others)
+				t.mu.Unlock()
+				c.Go(codebook.Pull, signal.Encode(codebook.PullCall{Self: &b, Others: others, Life: call.Life, At: ^uint64(0), Have: call.Have, Count: 1 << 20, Epoch: call.Epoch}), func([]byte, error) {})
 			case <-timer.C:
 				c.Forget(id)
 				r.err = plight.New(plight.TimedOut, "")
@@ -264,13 +270,15 @@
 			}
 		}
 		timer.Stop()
-		_ = told
 		if r.err != nil || signal.Decode(r.body, &n) != nil {
 			return false
 		}
 		t.pulls.Add(1)
 		good = true
 		call.Life, call.At = n.Life, n.At
+		t.mu.Lock()
+		t.others = t.others[min(len(call.Others), len(t.others)):]
+		t.mu.Unlock()
 		t.take(n)
 		if n.FreshMs > staleMs && (time.Since(began) > time.Second || n.FreshMs >= codebook.Never && time.Since(began) > 300*time.Millisecond) {
 			return false // it hears no majority: another may
@@ -282,6 +290,57 @@
 	return true
 }
 
+// pullBy asks another proxy for what this one lacks, while no harbourmaster is of use.
+func (t *Tug) pullBy() {
+	b := t.way.Gate.Berth()
+	t.mu.Lock()
+	call := codebook.PullCall{Self: &b, Have: t.chosen, Epoch: t.council.Roll().Epoch}
+	t.mu.Unlock()
+	raw, err := t.way.AskNews(signal.Encode(call), pullTime)
+	var n codebook.News
+	if err != nil || signal.Decode(raw, &n) != nil {
+		return
+	}
+	t.byOther.Add(1)
+	t.take(n)
+}
+
+// newsFor answers another proxy that reaches no harbourmaster, and tells on what it is the source of.
+func (t *Tug) newsFor(raw []byte) ([]byte, error) {
+	var call codebook.PullCall
+	if err := signal.Decode(raw, &call); err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	told := call.Self != nil && len(t.others) < maxOthers && t.table.Join(*call.Self)
+	if told {
+		t.others = append(t.others, *call.Self)
+	}
+	n := codebook.News{Berths: t.table.Since(0), Chosen: t.chosen, FreshMs: codebook.Never}
+	if call.Have.Less(t.chosen) {
+		for _, i := range t.stands {
+			if call.Have.Less(i.Ballot) {
+				n.Items = append(n.Items, i)
+			}
+		}
+	}
+	if r := t.council.Roll(); r.Epoch != call.Epoch && r.Epoch > 0 {
+		n.Roll = &r
+	}
+	if !t.heard.IsZero() {
+		n.FreshMs = uint32(min(time.Since(t.heard).Milliseconds(), codebook.Never))
+	}
+	t.mu.Unlock()
+	if told {
+		t.way.Learn([]berths.Berth{*call.Self})
+		t.tell()
+	}
+	return signal.Encode(n), nil
+}
+
+// maxOthers bounds what is told on for others at a time.
+const maxOthers = 64
+
 // near reports whether a harbourmaster is of this zone, or none is.
 func (t *Tug) near(addr, zone string) bool {
 	t.mu.Lock()
@@ -354,7 +413,7 @@
 // Counts are for the log.
 func (t *Tug) Counts() map[string]int64 {
 	out := t.way.Report()
-	out["pulls"] = t.pulls.Load()
+	out["pulls"], out["pulls_by_other"] = t.pulls.Load(), t.byOther.Load()
 	return out
 }
 
