Beats of ended lives ignored, split votes ask the holder, frozen proxies left alone

Cause: a second reading found that a late beat could bring an ended life back, that a second change waited behind the first's whole time, that a hop that timed out did not set its proxy aside, and that SIGTERM cut operators' calls. Change: ended lives are remembered, the time of a call counts from its start, hop failures are told from failures behind them, the harbourmaster shuts down in order, missing addresses are refused.

--- a/cmd/harbourmaster/main.go
+++ b/cmd/harbourmaster/main.go
@@ -23,6 +23,9 @@
 func start(s *articles.Settings, log func(event, text string)) (launch.Running, error) {
 	r := running{s: &atomic.Pointer[articles.Settings]{}}
 	r.s.Store(s)
+	if s.Listen["control-plane"] == "" || s.Port(codebook.GatePort) == "" {
+		return nil, fmt.Errorf("%s: listen-addrs.control-plane and %d ephemeral-ports wanted", s.Path, codebook.GatePort+1)
+	}
 	control, err := net.Listen("tcp4", s.Listen["control-plane"])
 	if err != nil {
 		return nil, fmt.Errorf("control-plane: %w", err)
@@ -39,7 +42,7 @@
 
 func (r running) Reload(s *articles.Settings) { r.s.Store(s) }
 
-func (r running) Stop(time.Duration) { r.h.Close() }
+func (r running) Stop(grace time.Duration) { r.h.Close(min(grace, 2*time.Second)) }
 
 func (r running) Counts() map[string]int64 {
 	c, s := &r.h.Counts, r.h.Status()
--- a/cmd/purser/main.go
+++ b/cmd/purser/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"fmt"
 	"os"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,9 @@
 const keyMargin = 30 * time.Second
 
 func start(s *articles.Settings, log func(event, text string)) (launch.Running, error) {
+	if s.DataDir == "" || s.Port(codebook.GatePort) == "" {
+		return nil, fmt.Errorf("%s: data-directory and %d ephemeral-ports wanted", s.Path, codebook.GatePort+1)
+	}
 	r := running{s: &atomic.Pointer[articles.Settings]{}}
 	r.s.Store(s)
 	o := purser.Options{Addr: s.Port(codebook.PurserPort), Dir: s.DataDir, Zone: s.Zone, Bootstrap: s.Bootstrap,
--- a/internal/gangway/gangway.go
+++ b/internal/gangway/gangway.go
@@ -96,6 +96,11 @@
 	g.helm.Ask(func(h *Helm) { h.Learn(g.now(), news) })
 }
 
+// Hear takes news of the backend beside this proxy, without waiting for them to be taken.
+func (g *Gangway) Hear(b berths.Berth) {
+	g.helm.Send(func(h *Helm) { h.Learn(g.now(), []berths.Berth{b}) })
+}
+
 // Configure has the requests to come taken by another chart.
 func (g *Gangway) Configure(c *manifest.Chart) { g.chart.Store(c) }
 
--- a/internal/gangway/gate.go
+++ b/internal/gangway/gate.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -40,6 +41,7 @@
 	running int
 	queue   waits
 	order   int
+	past    []string           // lives that have ended
 	news    func(berths.Berth) // hears of each change
 	open    map[net.Conn]bool
 	ended   bool
@@ -126,30 +128,30 @@
 	}
 }
 
-// Beat takes a beat of the backend. One that comes late changes nothing.
+// Beat takes a beat of the backend. One that comes late, or of a life that has ended, changes nothing.
 func (g *Gate) Beat(p pilot.Beat) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.ended {
-		return nil
-	}
 	same := p.ID == g.berth.Instance
-	if same && p.Count < g.count {
+	if g.ended || slices.Contains(g.past, p.ID) || same && p.Count < g.count {
 		return nil
 	}
-	g.count, g.beat = p.Count, time.Now()
-	g.warmAt = g.beat.Add(p.Warm)
+	g.beat = time.Now()
 	if p.Addr != "" && g.o.App == "" {
 		g.addr = p.Addr
 	}
-	if !same {
-		g.pool.Retire(g.berth.Instance)
+	p.Capacity = max(1, p.Capacity)
+	if same && p.Count == g.count && g.berth.State != berths.None { // told again
+		return nil
 	}
+	g.count = p.Count
+	g.warmAt = g.beat.Add(p.Warm)
 	if same && g.berth.State == p.State && g.berth.Capacity == p.Capacity {
 		return nil
 	}
-	if same && g.berth.State == berths.Draining && p.State == berths.Serving && p.Count == g.count {
-		return nil
+	if !same && g.berth.Instance != "" {
+		g.pool.Retire(g.berth.Instance)
+		g.bury(g.berth.Instance)
 	}
 	g.change(func(b *berths.Berth) {
 		b.Instance, b.Service, b.Release, b.Capacity, b.State = p.ID, p.Service, p.Release, p.Capacity, p.State
@@ -159,10 +161,23 @@
 	return nil
 }
 
+// pastLives bounds the lives that are remembered as ended.
+const pastLives = 16
+
+// bury takes note that a life has ended. The caller holds g.mu.
+func (g *Gate) bury(id string) {
+	if g.past = append(g.past, id); len(g.past) > pastLives {
+		g.past = slices.Delete(g.past, 0, 1)
+	}
+}
+
 // Leave takes note that the backend has ended.
 func (g *Gate) Leave(id string) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !slices.Contains(g.past, id) {
+		g.bury(id)
+	}
 	if id == g.berth.Instance && g.berth.State != berths.None {
 		g.change(func(b *berths.Berth) { b.State = berths.None })
 		g.o.Log("backend", id+": ended")
--- a/internal/gangway/helm.go
+++ b/internal/gangway/helm.go
@@ -176,21 +176,19 @@
 		return
 	}
 	r.inFlight = max(0, r.inFlight-1)
-	if o.err == nil {
+	if !o.hop {
 		r.awayTill, r.away = 0, 0
 		if r.Capacity > 0 && (o.Running > 0 || o.Waiting > 0 || o.Plight == plight.OK) {
 			r.load, r.loadAt = float64(o.Running+o.Waiting)/float64(r.Capacity), now
 		}
 	}
-	switch o.Plight {
-	case plight.OK:
-		if o.Status/100 == 2 {
-			h.bucket.Refill(1)
-		}
-	case plight.Away, plight.Broken:
+	switch {
+	case o.hop: // its proxy can't be reached, or is frozen
 		r.away = min(max(awayLow, 2*r.away), awayHigh)
 		r.awayTill = now + r.away
-	case plight.Leaving, plight.Elsewhere:
+	case o.Plight == plight.OK && o.Status/100 == 2:
+		h.bucket.Refill(1)
+	case o.Plight == plight.Leaving, o.Plight == plight.Elsewhere, o.Plight == plight.Away:
 		if r.Instance == c.instance { // its own word comes soon
 			r.awayTill = now + awayHigh
 		}
--- a/internal/gangway/hop.go
+++ b/internal/gangway/hop.go
@@ -230,7 +230,7 @@
 	told
 	answer *Answer
 	err    error // of the hop itself
-	fresh  bool  // nothing went out on the hop: nothing has run
+	hop    bool  // the hop itself failed, not what is behind it
 }
 
 // hops makes hops to other proxies.
@@ -241,7 +241,7 @@
 const (
 	hopDial  = 300 * time.Millisecond
 	hopIdle  = 20 * time.Second
-	hopQuiet = 800 * time.Millisecond // sent bytes that stay unacknowledged for so long end a hop
+	hopQuiet = 500 * time.Millisecond // sent bytes that stay unacknowledged for so long end a hop
 )
 
 func newHops() *hops {
@@ -265,7 +265,7 @@
 	c, err := h.dial(addr, dialCut)
 	if err != nil {
 		h.pool.CloseIdle(addr)
-		return outcome{told: told{Plight: plight.Away}, err: err, fresh: true}
+		return outcome{told: told{Plight: plight.Away}, err: err, hop: true}
 	}
 	c.SetDeadline(cut)
 	buf := getBuf()
@@ -275,12 +275,12 @@
 	putBuf(buf)
 	if err != nil { // some of it may have arrived whole
 		h.pool.Close(c)
-		return outcome{told: told{Plight: plight.Broken, Sent: true}, err: err}
+		return outcome{told: told{Plight: plight.Broken, Sent: true}, err: err, hop: true}
 	}
 	if stream != nil {
 		if err := sendPieces(c, stream); err != nil {
 			h.pool.Close(c)
-			return outcome{told: told{Plight: plight.Broken, Sent: true}, err: err}
+			return outcome{told: told{Plight: plight.Broken, Sent: true}, err: err, hop: true}
 		}
 		c.SetDeadline(cut)
 	}
@@ -300,7 +300,7 @@
 		if k == plight.Broken {
 			h.pool.CloseIdle(addr)
 		}
-		return outcome{told: told{Plight: k, Sent: true}, err: err}
+		return outcome{told: told{Plight: k, Sent: true}, err: err, hop: true}
 	}
 	o := outcome{told: t}
 	if t.Plight != plight.OK {
@@ -318,7 +318,7 @@
 	if err != nil {
 		putReader(in)
 		h.pool.Close(c)
-		return outcome{told: told{Plight: plight.Broken, Sent: true, Status: t.Status}, err: err}
+		return outcome{told: told{Plight: plight.Broken, Sent: true, Status: t.Status}, err: err, hop: true}
 	}
 	if o.answer.Rest != nil {
 		c.SetDeadline(time.Time{})
--- a/internal/gangway/keyed.go
+++ b/internal/gangway/keyed.go
@@ -44,6 +44,16 @@
 		v.end(tally.Void, nil, "")
 		g.book.Send(func(b *tally.Book[*Answer]) { b.Forget(v.key, id) })
 		return v.ofAnother(holder)
+	case plight.KeySplit: // those who hold a part of the votes may know more
+		v.release()
+		if holder.At != "" {
+			if o := v.recall(holder.At, holder); o.Plight == plight.OK && o.answer != nil || o.Plight == plight.KeyAtWork {
+				return v.told(o)
+			} else if o.State == tally.Void {
+				v.free(holder)
+			}
+		}
+		return nil, k
 	default:
 		v.release()
 		return nil, k
--- a/internal/harbour/harbour.go
+++ b/internal/harbour/harbour.go
@@ -4,6 +4,7 @@
 package harbour
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -91,10 +92,14 @@
 	return h
 }
 
-// Close ends it.
-func (h *Harbour) Close() {
+// Close ends it: calls from outside that are under way are answered, within wait.
+func (h *Harbour) Close(wait time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	if h.http.Shutdown(ctx) != nil {
+		h.http.Close()
+	}
 	close(h.ended)
-	h.http.Close()
 	h.server.Close()
 	h.council.Close()
 	h.running.Wait()
@@ -490,9 +495,12 @@
 
 // propose runs rounds until the items are chosen, or stand already, or can't be.
 func (h *Harbour) propose(items []manifest.Item) error {
+	end := time.Now().Add(changeTime)
 	h.round.Lock()
 	defer h.round.Unlock()
-	end := time.Now().Add(changeTime)
+	if time.Until(end) < phaseTime/4 { // others' rounds took the time: the caller comes again
+		return plight.New(plight.Preempted, "")
+	}
 	for {
 		err := h.tryRound(items, end)
 		if k := plight.Of(err); k != plight.Preempted && k != plight.CoreOut {
--- a/internal/tug/tug.go
+++ b/internal/tug/tug.go
@@ -78,6 +78,9 @@
 		return l, err
 	}
 	gateAddr := s.Port(codebook.GatePort)
+	if gateAddr == "" {
+		return nil, fmt.Errorf("%s: %d ephemeral-ports wanted", s.Path, codebook.GatePort+1)
+	}
 	answers := 24 << 20
 	if s.MemoryMB > 0 {
 		answers = int(s.MemoryMB * (1 << 20) / 8)
@@ -90,7 +93,10 @@
 		Life: t.life, Begun: time.Now(), Heartbeat: s.Heartbeat, Ratio: s.Bounds.RetryRatio, Allowance: s.Bounds.RetryAllowance,
 		Window: s.Bounds.RetryWindow, KeyWindow: s.Bounds.DedupWindow + keyMargin, AnswerBytes: answers, MaxConns: conns,
 		Council: t.council, News: t.newsFor, Log: log})
-	t.way.Gate.OnChange(func(berths.Berth) { t.tell() })
+	t.way.Gate.OnChange(func(b berths.Berth) {
+		t.way.Hear(b)
+		t.tell()
+	})
 	gate, err := signal.Listen(gateAddr)
 	if err != nil {
 		return nil, fmt.Errorf("gate: %w", err)
