A request waits for places up to half of its target, 0.3 at one backend

Cause: after all machines lost power backends are cold and calls of backends were refused at the gate after 15 % of their target, which fails their parents.

--- a/internal/gangway/front.go
+++ b/internal/gangway/front.go
@@ -490,8 +490,8 @@
 }
 
 const (
-	holdPart  = 0.25 // of the target: so long a request may wait for places, over all attempts
-	tryPart   = 0.15 // and at one backend
+	holdPart  = 0.5 // of the target: so long a request may wait for places, over all attempts
+	tryPart   = 0.3 // and at one backend
 	holdLeast = 2 * time.Millisecond
 )
 
