Purser: a disk whose reading failed leaves no incarnation behind in memory

A disk that opened and then failed amid its reading left the roll and the incarnations in memory. The next try, on a disk found damaged and begun anew, took them for its own: the member served with no claims, no promises and no configuration under the incarnation of before, so a key could be granted twice and an acknowledged configuration lost.

All that a disk told is forgotten with it. The books are tested without goroutines: the disk is an interface whose syncs the test times, and what is done later goes through a hook. The founding's write no longer waits on the owner's queue from the disk's goroutine.

TestDiskThatFailsAmidReading: serving and granting before, no roll after.

--- a/internal/purser/purser.go
+++ b/internal/purser/purser.go
@@ -66,6 +66,16 @@
 	server *signal.Server
 	Counts Counts
 	ended  chan struct{}
+	begin  func(hold.Options) (disk, hold.Start, error)
+	later  func(func(*books)) // queues a command from where nobody may wait
+}
+
+// disk is what a purser asks of its hold.
+type disk interface {
+	Load(t hold.Table, each func(key, value []byte) error) error
+	Write(puts []hold.Put, done func(error))
+	Stalled() time.Duration
+	Close() error
 }
 
 // books are the tables.
@@ -73,7 +83,7 @@
 	p         *Purser
 	begun     time.Time
 	state     State
-	disk      *hold.Hold
+	disk      disk // nil: there is none
 	acc       *ballot.Acceptor
 	ledger    *tally.Ledger
 	roll      codebook.Roll
@@ -102,7 +112,8 @@
 
 // StartOn is Start on a listener that is open.
 func StartOn(o Options, l net.Listener) *Purser {
-	p := &Purser{o: o, ended: make(chan struct{})}
+	p := &Purser{o: o, ended: make(chan struct{}), begin: openHold}
+	p.later = func(f func(*books)) { go p.own.Send(f) }
 	b := &books{p: p, begun: time.Now(), state: NoDisk, me: -1}
 	b.clear()
 	p.own = signal.Own(b, 1024)
@@ -112,11 +123,19 @@
 	return p
 }
 
+func openHold(o hold.Options) (disk, hold.Start, error) {
+	h, start, err := hold.Open(o)
+	if err != nil {
+		return nil, start, err
+	}
+	return h, start, nil
+}
+
 // Close ends it; what is queued for the disk is waited for.
 func (p *Purser) Close() error {
 	close(p.ended)
 	p.server.Close()
-	var disk *hold.Hold
+	var disk disk
 	p.own.Ask(func(b *books) { disk = b.disk })
 	p.own.End()
 	if disk != nil {
@@ -162,10 +181,17 @@
 
 func (b *books) now() time.Duration { return time.Since(b.begun) }
 
+// clear forgets what is kept on disk, other than the roll.
 func (b *books) clear() {
 	b.acc, b.ledger = ballot.NewAcceptor(), tally.NewLedger(b.p.o.Window)
 }
 
+// forget forgets all that a disk told.
+func (b *books) forget() {
+	b.clear()
+	b.roll, b.incs, b.me = codebook.Roll{}, nil, -1
+}
+
 func (b *books) set(s State) {
 	if s != b.state {
 		b.p.o.Log("state", fmt.Sprintf("%s -> %s", b.state, s))
@@ -175,20 +201,20 @@
 
 // open opens the disk and reads all that is there.
 func (b *books) open() {
-	disk, found, err := hold.Open(hold.Options{Dir: b.p.o.Dir, MaxBytes: b.p.o.MaxBytes,
+	disk, found, err := b.p.begin(hold.Options{Dir: b.p.o.Dir, MaxBytes: b.p.o.MaxBytes,
 		Log: func(s string) { b.p.o.Log("disk", s) }})
 	if err != nil {
 		b.p.o.Log("disk", err.Error())
 		return
 	}
 	b.p.o.Log("disk", "found "+found.String())
-	b.clear()
+	b.forget()
 	b.disk = disk
 	if err := b.read(); err != nil {
 		b.p.o.Log("disk", "reading: "+err.Error())
 		disk.Close()
 		b.disk = nil
-		b.clear()
+		b.forget() // above all its incarnation: the next disk may be an empty one
 		return
 	}
 	switch {
@@ -219,11 +245,11 @@
 		}
 	}
 	b.disk.Write([]hold.Put{b.putRoll(), b.putIncs()}, func(err error) {
-		b.p.own.Send(func(b *books) {
+		b.p.later(func(b *books) {
 			switch {
 			case err != nil:
 				b.p.o.Log("disk", err.Error())
-				b.roll = codebook.Roll{}
+				b.forget()
 				b.set(NoRoll)
 			case b.me >= 0:
 				b.set(Serving)
@@ -468,7 +494,7 @@
 	answer := codebook.Accepted{Vouch: b.vouch(), Taken: true, Accepted: m.B}
 	b.accepting = true
 	b.write(puts, func(err error) {
-		go b.p.own.Send(func(b *books) {
+		b.p.later(func(b *books) {
 			b.accepting = false
 			if err == nil {
 				b.acc.Accept(m.B, next)
@@ -561,7 +587,7 @@
 		b.write([]hold.Put{putClaim(m.Key, m.ID)}, func(err error) {
 			reply(c, answer, err)
 			if err != nil && fresh {
-				go b.p.own.Send(func(b *books) { b.ledger.Release(m.Key, m.ID) })
+				b.p.later(func(b *books) { b.ledger.Release(m.Key, m.ID) })
 			}
 		})
 	}
--- /dev/null
+++ b/internal/purser/purser_test.go
@@ -0,0 +1,182 @@
+package purser
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"saltmast/internal/codebook"
+	"saltmast/internal/hold"
+	"saltmast/internal/plight"
+	"saltmast/internal/signal"
+	"saltmast/internal/tally"
+)
+
+// A paper is a disk whose syncs the test times: what was written waits for sync, which brings it into force or fails it.
+type paper struct {
+	rows   map[hold.Table]map[string][]byte
+	waits  []writing
+	broken error // of Load
+	stall  time.Duration
+}
+
+type writing struct {
+	puts []hold.Put
+	done func(error)
+}
+
+func newPaper() *paper { return &paper{rows: map[hold.Table]map[string][]byte{}} }
+
+func (p *paper) Load(t hold.Table, each func(k, v []byte) error) error {
+	for _, k := range slices.Sorted(maps.Keys(p.rows[t])) {
+		if err := each([]byte(k), p.rows[t][k]); err != nil {
+			return err
+		}
+	}
+	return p.broken
+}
+
+func (p *paper) Write(puts []hold.Put, done func(error)) {
+	size, waiting := 0, 0
+	for _, x := range puts {
+		size += len(x.Key) + len(x.Value)
+	}
+	for _, w := range p.waits {
+		for _, x := range w.puts {
+			waiting += len(x.Key) + len(x.Value)
+		}
+	}
+	switch {
+	case size > hold.MaxWrite:
+		done(hold.ErrFull)
+	case waiting+size > hold.MaxQueueBytes:
+		done(hold.ErrBusy)
+	default:
+		p.waits = append(p.waits, writing{puts, done})
+	}
+}
+
+func (p *paper) Stalled() time.Duration { return p.stall }
+func (p *paper) Close() error           { return nil }
+
+func (p *paper) sync(err error) {
+	w := p.waits[0]
+	p.waits = p.waits[1:]
+	for _, x := range w.puts {
+		switch {
+		case err != nil:
+		case x.Value == nil:
+			delete(p.rows[x.Table], string(x.Key))
+		default:
+			if p.rows[x.Table] == nil {
+				p.rows[x.Table] = map[string][]byte{}
+			}
+			p.rows[x.Table][string(x.Key)] = x.Value
+		}
+	}
+	w.done(err)
+}
+
+// A desk is the books of one purser without goroutines: what is done later waits in a queue.
+type desk struct {
+	*books
+	paper *paper
+	as    hold.Start // it is found
+	later []func(*books)
+}
+
+var voters = []codebook.Voter{{Addr: "a:1"}, {Addr: "b:1"}, {Addr: "c:1"}}
+
+func newDesk(t *testing.T, o Options) *desk {
+	o.Addr, o.Window, o.Log = "a:1", time.Minute, func(event, text string) { t.Log(event, text) }
+	o.Seeds = func() []string { return nil }
+	d := &desk{paper: newPaper()}
+	p := &Purser{o: o, later: func(f func(*books)) { d.later = append(d.later, f) }}
+	p.begin = func(hold.Options) (disk, hold.Start, error) { return d.paper, d.as, nil }
+	p.own = signal.Own(&books{}, 64) // hears of what a repair found, which no test here waits for
+	t.Cleanup(p.own.End)
+	d.books = &books{p: p, begun: time.Now(), state: NoDisk, me: -1}
+	d.clear()
+	return d
+}
+
+// settle syncs all that waits, and does all that is to be done later.
+func (d *desk) settle() {
+	for len(d.paper.waits)+len(d.later) > 0 {
+		d.catchUp()
+		if len(d.paper.waits) > 0 {
+			d.paper.sync(nil)
+		}
+	}
+}
+
+// catchUp does what is to be done later.
+func (d *desk) catchUp() {
+	l := d.later
+	d.later = nil
+	for _, f := range l {
+		f(d.books)
+	}
+}
+
+// answered is what came of a call so far.
+type answered struct {
+	body []byte
+	err  error
+	n    int
+}
+
+func (d *desk) call(kind uint8, v any) *answered {
+	r := &answered{}
+	c := signal.Local(kind, v, func(body []byte, err error) { r.body, r.err = body, err; r.n++ })
+	if err := d.take(c); err != nil {
+		c.Reply(nil, err)
+	}
+	return r
+}
+
+func (r *answered) grant(t *testing.T) (g tally.Grant) {
+	t.Helper()
+	if r.n != 1 || r.err != nil {
+		t.Fatalf("%d answers, %v", r.n, r.err)
+	}
+	if err := signal.Decode(r.body, &g); err != nil {
+		t.Fatal(err)
+	}
+	return g
+}
+
+// founded is a desk that counts.
+func founded(t *testing.T) *desk {
+	d := newDesk(t, Options{Bootstrap: true, Found: voters})
+	d.open()
+	d.settle()
+	if d.state != Serving {
+		t.Fatalf("%s after the founding", d.state)
+	}
+	return d
+}
+
+func id(n uint64) tally.ID { return tally.ID{Life: 7, N: n, At: "x:1"} }
+
+// What a disk told before its reading failed counts for nothing: the next one may be empty.
+func TestDiskThatFailsAmidReading(t *testing.T) {
+	d := founded(t)
+	again := newDesk(t, Options{})
+	again.paper, again.as = d.paper, hold.Whole
+	again.paper.broken = errors.New("no more")
+	again.open()
+	if again.state != NoDisk || again.disk != nil {
+		t.Fatalf("%s with a disk that can't be read", again.state)
+	}
+	again.paper, again.as = newPaper(), hold.Damaged
+	again.open()
+	if again.state != NoRoll {
+		t.Errorf("%s on an empty disk, epoch %d, incarnations %v", again.state, again.roll.Epoch, again.incs)
+	}
+	if r := again.call(codebook.Claim, codebook.ClaimCall{Key: "k", ID: id(1), Epoch: 1}); plight.Of(r.err) != plight.CoreOut {
+		t.Errorf("a claim there: %v", r.err)
+	}
+}
--- a/internal/purser/repair.go
+++ b/internal/purser/repair.go
@@ -59,7 +59,7 @@
 			reply(c, nil, err)
 			return
 		}
-		go b.p.own.Send(func(b *books) { c.Reply(b.tell(m), nil) })
+		b.p.later(func(b *books) { c.Reply(b.tell(m), nil) })
 	})
 	return nil
 }
@@ -267,7 +267,7 @@
 	last := append(slices.Clone(puts), b.putIncs()) // its incarnation comes last: before it, the repair is not done
 	b.incs = saved
 	b.write(last, func(err error) {
-		go b.p.own.Send(func(b *books) {
+		b.p.later(func(b *books) {
 			if err != nil || failed.Load() || b.state != Repairing {
 				return
 			}
--- a/internal/signal/signal.go
+++ b/internal/signal/signal.go
@@ -175,6 +175,12 @@
 	From string // the caller's address
 	id   uint32
 	l    *link
+	to   func(body []byte, err error)
+}
+
+// Local is a call from within the process: to gets its answer.
+func Local(kind uint8, v any, to func(body []byte, err error)) Call {
+	return Call{Kind: kind, Body: Encode(v), to: to}
 }
 
 // Reply answers a call, from any goroutine, once. A caller that has gone is told nothing.
@@ -183,6 +189,10 @@
 	if err == nil && v != nil {
 		body = Encode(v)
 	}
+	if c.to != nil {
+		c.to(body, err)
+		return
+	}
 	c.l.send(c.id, c.Kind, plight.Of(err), body)
 }
 
