Purser: a repair takes as long as it takes, in parts that the disk's queue holds

Three ways in which a member stayed useless. A repair whose writes took longer than a tick was begun again beside itself: the first to end brought the member back under an incarnation that the others knew as over, and all its answers were dropped until a restart. A repair of more than about 25000 keys, or of a part of over 1 MiB, overflowed the disk's queue and was tried again without end. A founding slower than a tick had the disk opened a second time.

A repair is over when what it found is on disk; it is saved in parts of at most 256 KiB, each behind the one before, the incarnation last. What a repair that died left on disk beside is deleted with it. The tick opens no disk where there is one.

--- a/internal/purser/purser.go
+++ b/internal/purser/purser.go
@@ -613,7 +613,9 @@
 func (b *books) tick() {
 	switch b.state {
 	case NoDisk:
-		b.open()
+		if b.disk == nil { // else the founding is on its way there
+			b.open()
+		}
 	case NoRoll, Repairing:
 		b.repair()
 	}
--- a/internal/purser/purser_test.go
+++ b/internal/purser/purser_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
 	"time"
 
+	"saltmast/internal/ballot"
 	"saltmast/internal/codebook"
 	"saltmast/internal/hold"
+	"saltmast/internal/manifest"
 	"saltmast/internal/plight"
 	"saltmast/internal/signal"
 	"saltmast/internal/tally"
@@ -180,3 +183,64 @@
 		t.Errorf("a claim there: %v", r.err)
 	}
 }
+
+// A founding that is not on disk yet is not begun again by a tick, nor is the disk opened a second time.
+func TestFoundingThatTakesLong(t *testing.T) {
+	opened := 0
+	d := newDesk(t, Options{Bootstrap: true, Found: voters})
+	begin := d.p.begin
+	d.p.begin = func(o hold.Options) (disk, hold.Start, error) { opened++; return begin(o) }
+	d.open()
+	d.tick()
+	d.tick()
+	if d.settle(); opened != 1 || d.state != Serving {
+		t.Errorf("opened %d times, %s", opened, d.state)
+	}
+}
+
+// A repair that is on its way to disk is not overtaken by the next: its incarnation would be stale for good.
+func TestRepairThatTakesLong(t *testing.T) {
+	d := newDesk(t, Options{})
+	d.open()
+	d.roll = codebook.Roll{Epoch: 1, Voters: voters}
+	d.place()
+	d.set(Repairing)
+	told := func(by int, inc uint64, claims ...codebook.ClaimCall) mustered {
+		return mustered{m: codebook.Mustered{Vouch: ballot.Vouch{By: by, Incs: []uint64{inc, 1, 1}}}, claims: claims}
+	}
+	d.mustering = true // as since it began
+	d.restore(2, []mustered{told(1, 2), told(2, 2)})
+	if !d.mustering {
+		t.Fatal("the next tick would begin another repair")
+	}
+	d.settle()
+	if d.state != Serving || d.incs[0] != 2 || d.mustering {
+		t.Errorf("%s, incarnations %v, mustering %v", d.state, d.incs, d.mustering)
+	}
+}
+
+// A repair passes through the disk's queue however much it is, and leaves nothing on disk of one before that died.
+func TestRepairOfMuch(t *testing.T) {
+	d := newDesk(t, Options{})
+	d.paper.rows[tableClaims] = map[string][]byte{"stale": putClaim("stale", id(1)).Value}
+	left := manifest.Item{Key: manifest.Key{Kind: manifest.Routes, Name: "stale"}, Version: 3, Spec: []byte("{}")}
+	d.paper.rows[tableItems] = map[string][]byte{string(itemKey(left.Key)): putItem(left).Value}
+	d.open()
+	d.roll = codebook.Roll{Epoch: 1, Voters: voters}
+	d.place()
+	d.set(Repairing)
+	m := mustered{m: codebook.Mustered{Vouch: ballot.Vouch{By: 1, Incs: []uint64{2, 1, 1}}}}
+	const keys, items = 60000, 1500
+	for i := range keys {
+		m.claims = append(m.claims, codebook.ClaimCall{Key: fmt.Sprintf("key-of-some-length-%040d", i), ID: id(uint64(i + 1))})
+	}
+	for i := range items {
+		m.m.Items = append(m.m.Items, manifest.Item{Key: manifest.Key{Kind: manifest.Routes, Name: fmt.Sprint(i)}, Version: 1, Spec: make([]byte, 1000)})
+	}
+	m.m.Accepted = manifest.Ballot{N: 1}
+	d.restore(2, []mustered{m})
+	d.settle()
+	if d.state != Serving || len(d.paper.rows[tableClaims]) != keys || len(d.paper.rows[tableItems]) != items {
+		t.Errorf("%s, %d claims and %d items on disk", d.state, len(d.paper.rows[tableClaims]), len(d.paper.rows[tableItems]))
+	}
+}
--- a/internal/purser/repair.go
+++ b/internal/purser/repair.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"saltmast/internal/ballot"
@@ -87,7 +86,9 @@
 	return t
 }
 
-// repair asks others for the roll, or for all that this member has lost. One runs at a time, off the owner's goroutine.
+// repair asks others for the roll, or for all that this member has lost. One runs at a time, off the owner's goroutine, and is
+// over when what it found is on disk: one that began before would leave this member under an incarnation that others know as
+// over.
 func (b *books) repair() {
 	if b.mustering || b.disk == nil {
 		return
@@ -116,10 +117,11 @@
 			f = b.p.enrol(addrs)
 		}
 		b.p.own.Send(func(b *books) {
-			b.mustering = false
-			if f != nil {
-				f(b)
+			if f == nil {
+				b.mustering = false
+				return
 			}
+			f(b)
 		})
 	}()
 }
@@ -162,6 +164,7 @@
 		return nil
 	}
 	return func(b *books) {
+		b.mustering = false
 		if b.roll.Epoch >= roll.Epoch || b.disk == nil {
 			return
 		}
@@ -221,6 +224,7 @@
 // restore takes what the others told, puts it on disk, and counts again.
 func (b *books) restore(inc uint64, got []mustered) {
 	if b.state != Repairing || b.disk == nil {
+		b.mustering = false
 		return
 	}
 	b.clear()
@@ -256,25 +260,72 @@
 		puts = append(puts, putItem(i))
 	}
 	b.ledger.All(func(key string, id tally.ID) { puts = append(puts, putClaim(key, id)) })
-	const part = 1000
-	var failed atomic.Bool // parts are written in order, and told in order
-	for len(puts) > part {
-		b.write(puts[:part], func(err error) { failed.Store(failed.Load() || err != nil) })
-		puts = puts[part:]
+	puts, err := b.sweep(puts)
+	if err != nil {
+		b.mustering = false
+		b.p.o.Log("repair", err.Error())
+		return
 	}
 	saved := b.incs
 	b.incs = incs
-	last := append(slices.Clone(puts), b.putIncs()) // its incarnation comes last: before it, the repair is not done
+	puts = append(puts, b.putIncs()) // its incarnation comes last: before it, the repair is not done
 	b.incs = saved
-	b.write(last, func(err error) {
+	b.save(puts, func(b *books, err error) {
+		b.mustering = false
+		if err != nil {
+			b.p.o.Log("repair", err.Error())
+			return
+		}
+		b.incs = incs
+		b.set(Serving)
+		b.p.o.Log("repair", fmt.Sprintf("made up for by %d others: incarnation %d, %d items, %d keys", len(got), inc, len(b.acc.Value), b.ledger.Len()))
+		b.wake()
+	})
+}
+
+// sweep adds to puts, which are all that shall be there, the deletion of what a repair that died has left on disk beside.
+func (b *books) sweep(puts []hold.Put) ([]hold.Put, error) {
+	type place struct {
+		t   hold.Table
+		key string
+	}
+	wanted := make(map[place]bool, len(puts))
+	for _, p := range puts {
+		wanted[place{p.Table, string(p.Key)}] = true
+	}
+	for _, t := range []hold.Table{tableItems, tableClaims} {
+		err := b.disk.Load(t, func(k, _ []byte) error {
+			if !wanted[place{t, string(k)}] {
+				puts = append(puts, hold.Put{Table: t, Key: k})
+			}
+			return nil
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	return puts, nil
+}
+
+// Bounds of one part of what is saved: each passes through the disk's queue beside what else there is.
+const (
+	partPuts  = 1000
+	partBytes = 256 << 10
+)
+
+// save writes puts in parts, each when the one before is on disk. done hears of the end in its turn.
+func (b *books) save(puts []hold.Put, done func(*books, error)) {
+	n := 0
+	for size := 0; n < len(puts) && n < partPuts && size < partBytes; n++ {
+		size += len(puts[n].Key) + len(puts[n].Value)
+	}
+	b.write(puts[:n], func(err error) {
 		b.p.later(func(b *books) {
-			if err != nil || failed.Load() || b.state != Repairing {
+			if err != nil || n == len(puts) {
+				done(b, err)
 				return
 			}
-			b.incs = incs
-			b.set(Serving)
-			b.p.o.Log("repair", fmt.Sprintf("made up for by %d others: incarnation %d, %d items, %d keys", len(got), inc, len(b.acc.Value), b.ledger.Len()))
-			b.wake()
+			b.save(puts[n:], done)
 		})
 	})
 }
