Purser: a claim that comes again stays held when only its first write fails

A claim whose write failed was taken out of memory. Had it come again meanwhile, and the second write succeeded, the member had told its grant and then granted the key to the next: two holders with one member's word. No claimant repeats a claim today, so it was latent.

A claim stays held until its claimant gives it back, which one that does not get the key does anyway. Ledger.Claim no longer tells what is new.

TestClaimAgainAfterFailedWrite: the second claimant granted before, denied after. TestClaimAfterFailedWrite, TestCallsBehindAnAccept hold the order of releases, claims and values on disk.

--- a/internal/purser/purser.go
+++ b/internal/purser/purser.go
@@ -577,19 +577,16 @@
 	if m.Key == "" || len(m.Key) > maxKey || m.ID.IsZero() {
 		return plight.New(plight.Malformed, "")
 	}
-	holder, granted, fresh := b.ledger.Claim(b.now(), m.Key, m.ID)
+	holder, granted := b.ledger.Claim(b.now(), m.Key, m.ID)
 	answer := tally.Grant{Vouch: b.vouch(), Given: granted, Holder: holder}
 	switch {
 	case !granted:
 		b.p.Counts.Denied.Add(1)
 		c.Reply(answer, nil)
-	default: // one that comes again is written again: the first may still be on its way to disk
-		b.write([]hold.Put{putClaim(m.Key, m.ID)}, func(err error) {
-			reply(c, answer, err)
-			if err != nil && fresh {
-				b.p.later(func(b *books) { b.ledger.Release(m.Key, m.ID) })
-			}
-		})
+	default:
+		// One that comes again is written again: the first may still be on its way to disk. One whose write failed stays held:
+		// it may come again meanwhile, and a claimant that does not get the key gives it back by itself.
+		b.write([]hold.Put{putClaim(m.Key, m.ID)}, func(err error) { reply(c, answer, err) })
 	}
 	return nil
 }
--- a/internal/purser/purser_test.go
+++ b/internal/purser/purser_test.go
@@ -244,3 +244,86 @@
 		t.Errorf("%s, %d claims and %d items on disk", d.state, len(d.paper.rows[tableClaims]), len(d.paper.rows[tableItems]))
 	}
 }
+
+// A claim that comes again while its first write is on the way stays held when only the first fails.
+func TestClaimAgainAfterFailedWrite(t *testing.T) {
+	d := founded(t)
+	claim := func(n uint64) *answered {
+		return d.call(codebook.Claim, codebook.ClaimCall{Key: "k", ID: id(n), Epoch: 1})
+	}
+	first, again := claim(1), claim(1)
+	d.paper.sync(hold.ErrDisk)
+	d.paper.sync(nil)
+	d.catchUp()
+	if plight.Of(first.err) != plight.DiskOut || !again.grant(t).Given {
+		t.Fatalf("the first: %v, again: %v", first.err, again.err)
+	}
+	other := claim(2)
+	d.settle()
+	if g := other.grant(t); g.Given || g.Holder != id(1) {
+		t.Errorf("another was granted the key that is granted already: %+v", g)
+	}
+}
+
+// A claim whose write failed after another was denied for it is free once its claimant has given it back, in order on disk.
+func TestClaimAfterFailedWrite(t *testing.T) {
+	d := founded(t)
+	claim := func(n uint64) *answered {
+		return d.call(codebook.Claim, codebook.ClaimCall{Key: "k", ID: id(n), Epoch: 1})
+	}
+	first, denied := claim(1), claim(2)
+	if denied.grant(t).Given {
+		t.Fatal("granted twice")
+	}
+	d.paper.sync(hold.ErrFull)
+	d.catchUp()
+	if claim(4).grant(t).Given {
+		t.Error("granted although the first may come again")
+	}
+	d.call(codebook.Release, codebook.ReleaseCall{Key: "k", ID: id(2)}) // holds nothing
+	d.call(codebook.Release, codebook.ReleaseCall{Key: "k", ID: id(1)})
+	third := claim(3)
+	if third.n != 0 {
+		t.Error("granted before it is on disk")
+	}
+	d.settle()
+	if got, _ := readClaim(d.paper.rows[tableClaims]["k"]); got != id(3) {
+		t.Errorf("%v on disk", got)
+	}
+	if plight.Of(first.err) != plight.DiskOut || !third.grant(t).Given {
+		t.Errorf("the first: %v, the third: %v", first.err, third.err)
+	}
+}
+
+// Calls that come while a value is on its way to disk are worked on behind it, whether it got there or not.
+func TestCallsBehindAnAccept(t *testing.T) {
+	b1, b2 := manifest.Ballot{N: 1}, manifest.Ballot{N: 2}
+	item := manifest.Item{Key: manifest.Key{Kind: manifest.Routes, Name: "r"}, Version: 1, Ballot: b1, Spec: []byte("{}")}
+	for _, fails := range []bool{false, true} {
+		d := founded(t)
+		acc := d.call(codebook.Accept, codebook.AcceptCall{B: b1, Changes: []manifest.Item{item}, Epoch: 1})
+		learn := d.call(codebook.Learn, codebook.LearnCall{B: b1})
+		prep := d.call(codebook.Prepare, codebook.PrepareCall{B: b2, Epoch: 1})
+		must := d.call(codebook.Muster, codebook.MusterCall{Addr: "b:1", Inc: 2})
+		if acc.n+learn.n+prep.n+must.n != 0 {
+			t.Fatal("answered before the disk")
+		}
+		want := b1
+		if fails {
+			want = manifest.Ballot{}
+			d.paper.sync(hold.ErrDisk)
+		}
+		d.settle()
+		var p ballot.Promise
+		var m codebook.Mustered
+		if err := errors.Join(prep.err, learn.err, must.err, signal.Decode(prep.body, &p), signal.Decode(must.body, &m)); err != nil {
+			t.Fatal(err)
+		}
+		if (acc.err != nil) != fails || !p.Given || p.Accepted != want || m.Accepted != want || m.Promised != b2 || m.Vouch.Incs[1] != 2 || d.acc.Chosen != want {
+			t.Errorf("fails %v: %v, promise %+v, muster %+v", fails, acc.err, p, m)
+		}
+		if d.accepting || len(d.queued) > 0 {
+			t.Error("something waits on")
+		}
+	}
+}
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -38,14 +38,14 @@
 	return &Ledger{Window: window, held: map[string]ID{}}
 }
 
-// Claim grants a key to whoever comes first. fresh: it was not granted to id before, and counts once it is on disk.
-func (l *Ledger) Claim(now time.Duration, key string, id ID) (holder ID, granted, fresh bool) {
+// Claim grants a key to whoever comes first. The grant counts once it is on disk.
+func (l *Ledger) Claim(now time.Duration, key string, id ID) (holder ID, granted bool) {
 	if h, ok := l.held[key]; ok {
-		return h, h == id, false
+		return h, h == id
 	}
 	l.held[key] = id
 	l.order = append(l.order, entry{key, id, now})
-	return id, true, true
+	return id, true
 }
 
 // Release gives a key back, if id holds it.
