--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -9,17 +9,19 @@
 	"saltmast/internal/codebook"
 	"saltmast/internal/plight"
 	"saltmast/internal/signal"
+	"saltmast/internal/sock"
 )
 
 // Council is the clients to the pursers of the newest roll that was heard of.
 type Council struct {
+	net     sock.Net
 	mu      sync.Mutex
 	roll    codebook.Roll
 	clients []*signal.Client
 }
 
-// New returns one that knows of nobody.
-func New() *Council { return &Council{} }
+// New returns one that knows of nobody. n: nil for the system's network.
+func New(n sock.Net) *Council { return &Council{net: n} }
 
 // Roll is the newest roll.
 func (c *Council) Roll() codebook.Roll {
@@ -43,7 +45,7 @@
 	for _, v := range r.Voters {
 		cl := old[v.Addr]
 		if cl == nil {
-			cl = signal.NewClient(v.Addr)
+			cl = signal.NewClient(c.net, v.Addr)
 		}
 		delete(old, v.Addr)
 		c.clients = append(c.clients, cl)
--- /dev/null
+++ b/internal/drydock/sea/sea.go
@@ -0,0 +1,464 @@
+// Package sea is a network in memory between machines, for days in virtual time: connections behave like those of TCP, with
+// latency, small windows, deadlines, half closes and resets, and machines can be cut off, frozen, lose power or have a process
+// end. It starts no goroutine: whoever reads waits for the time at which bytes arrive. Start reading at Sea.
+//
+// All of it is made and used in one synctest bubble. A lock is held for moments only, never while anything waits.
+package sea
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Sea is the network.
+type Sea struct {
+	mu       sync.Mutex
+	rand     *rand.Rand
+	machines map[string]*Machine // by IP
+	lat      map[[2]string]time.Duration
+	cuts     map[[2]string]int
+	conns    map[*Conn]bool
+	change   chan struct{} // closed with each change of paths
+	nextPort int
+}
+
+// New returns an empty network whose latencies are drawn by a seed.
+func New(seed uint64) *Sea {
+	return &Sea{rand: rand.New(rand.NewPCG(seed, 77)), machines: map[string]*Machine{}, lat: map[[2]string]time.Duration{},
+		cuts: map[[2]string]int{}, conns: map[*Conn]bool{}, change: make(chan struct{}), nextPort: 32768}
+}
+
+// Machine is one address on the network.
+type Machine struct {
+	s         *Sea
+	IP, Zone  string
+	off       bool
+	frozen    bool
+	listeners map[string]*listener // by host:port
+}
+
+// Process is what runs on a machine: it implements sock.Net, and all its sockets end with it.
+type Process struct {
+	m     *Machine
+	ended bool
+	conns map[*Conn]bool
+	ls    map[*listener]bool
+}
+
+const (
+	window    = 64 << 10
+	inMachine = 30 * time.Microsecond
+	inZone    = 200 * time.Microsecond
+	crossLow  = 500 * time.Microsecond
+	crossHigh = 900 * time.Microsecond
+	resend    = 200 * time.Millisecond // after which what was lost on a cut path is sent again, once it is whole
+	synResend = time.Second
+	backlog   = 128
+)
+
+// Machine adds a machine.
+func (s *Sea) Machine(ip, zone string) *Machine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := &Machine{s: s, IP: ip, Zone: zone, listeners: map[string]*listener{}}
+	s.machines[ip] = m
+	return m
+}
+
+func pair(a, b string) [2]string {
+	if a > b {
+		a, b = b, a
+	}
+	return [2]string{a, b}
+}
+
+// latency is one way. The caller holds s.mu.
+func (s *Sea) latency(a, b *Machine) time.Duration {
+	if a == b {
+		return inMachine
+	}
+	if a.Zone == b.Zone {
+		return inZone
+	}
+	p := pair(a.IP, b.IP)
+	if s.lat[p] == 0 {
+		s.lat[p] = crossLow + time.Duration(s.rand.Int64N(int64(crossHigh-crossLow)))
+	}
+	return s.lat[p]
+}
+
+// open reports whether bytes pass between two machines. The caller holds s.mu.
+func (s *Sea) open(a, b *Machine) bool {
+	return !a.off && !b.off && (a == b || s.cuts[pair(a.IP, b.IP)] == 0)
+}
+
+// changed wakes those who wait for a path. The caller holds s.mu.
+func (s *Sea) changed() {
+	close(s.change)
+	s.change = make(chan struct{})
+}
+
+// Cut cuts the path between two machines: nothing passes, and nobody is told. Cuts add up.
+func (s *Sea) Cut(a, b *Machine) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cuts[pair(a.IP, b.IP)]++
+	s.hold()
+}
+
+// Join takes one cut away.
+func (s *Sea) Join(a, b *Machine) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cuts[pair(a.IP, b.IP)]--
+	s.release()
+}
+
+// CutOff cuts a machine off from all others.
+func (s *Sea) CutOff(m *Machine) { s.each(m, s.Cut) }
+
+// JoinAgain takes a CutOff away.
+func (s *Sea) JoinAgain(m *Machine) { s.each(m, s.Join) }
+
+func (s *Sea) each(m *Machine, f func(a, b *Machine)) {
+	s.mu.Lock()
+	var others []*Machine
+	for _, o := range s.machines {
+		if o != m {
+			others = append(others, o)
+		}
+	}
+	s.mu.Unlock()
+	for _, o := range others {
+		f(m, o)
+	}
+}
+
+// hold keeps back what is on its way over paths that do not pass now. The caller holds s.mu.
+func (s *Sea) hold() {
+	now := time.Now()
+	for c := range s.conns {
+		if s.open(c.p.m, c.peerM) {
+			continue
+		}
+		in := &c.in
+		for i := range in.segs {
+			if in.segs[i].at.After(now) {
+				in.segs[i].at = never
+			}
+		}
+		if in.fin && in.finAt.After(now) {
+			in.finAt = never
+		}
+		if in.rst && in.rstAt.After(now) {
+			in.rstAt = never
+		}
+		c.suspect()
+	}
+	s.changed()
+}
+
+// release sends again what was kept back, where a path passes now. The caller holds s.mu.
+func (s *Sea) release() {
+	now := time.Now()
+	for c := range s.conns {
+		if !s.open(c.p.m, c.peerM) {
+			continue
+		}
+		at := now.Add(resend)
+		in := &c.in
+		if c.peer.gone {
+			c.lose()
+		}
+		for i := range in.segs {
+			if in.segs[i].at.Equal(never) {
+				in.segs[i].at = at
+				in.last = at
+			}
+		}
+		if in.fin && in.finAt.Equal(never) {
+			in.finAt = at
+		}
+		if in.rst && in.rstAt.Equal(never) {
+			in.rstAt = at
+		}
+		if c.peer.gone && !in.rst { // the other side knows nothing of this connection any more
+			in.rst, in.rstAt = true, at
+		}
+		c.wake()
+	}
+	s.changed()
+}
+
+// Freeze holds what the machine's processes read and write, while its network goes on to take bytes for them. Their clocks run
+// on, which those of frozen processes would not.
+func (m *Machine) Freeze(yes bool) {
+	s := m.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m.frozen = yes
+	for c := range s.conns {
+		if c.p.m == m {
+			c.wake()
+		}
+	}
+	for _, l := range m.listeners {
+		l.poke()
+	}
+	s.changed()
+}
+
+// PowerOff takes the machine away: its processes' sockets are dead, and peers hear nothing.
+func (m *Machine) PowerOff() {
+	s := m.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m.off = true
+	for _, l := range m.listeners {
+		l.end()
+	}
+	s.hold()
+	for c := range s.conns {
+		if c.p.m == m {
+			c.gone = true
+			c.forget()
+		}
+	}
+}
+
+// PowerOn brings it back, empty: whoever still has a connection to what ran there is told by a reset.
+func (m *Machine) PowerOn() {
+	s := m.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m.off = false
+	s.release()
+}
+
+// Start begins a process.
+func (m *Machine) Start() *Process {
+	return &Process{m: m, conns: map[*Conn]bool{}, ls: map[*listener]bool{}}
+}
+
+// End ends the process at once: its sockets close as the system closes them, and it can't open others.
+func (p *Process) End() {
+	s := p.m.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.ended {
+		return
+	}
+	p.ended = true
+	for l := range p.ls {
+		l.end()
+	}
+	for c := range p.conns {
+		c.close()
+	}
+	s.changed()
+}
+
+// ---- Listening ----
+
+type listener struct {
+	p     *Process
+	addr  *net.TCPAddr
+	quiet time.Duration
+	queue []*Conn
+	note  chan struct{}
+	done  bool
+}
+
+// Listen implements sock.Net.
+func (p *Process) Listen(addr string, quiet time.Duration) (net.Listener, error) {
+	host, port, err := split(addr)
+	if err != nil {
+		return nil, err
+	}
+	s := p.m.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	name := net.JoinHostPort(host, strconv.Itoa(port))
+	switch {
+	case p.ended || p.m.off:
+		return nil, &net.OpError{Op: "listen", Net: "tcp4", Err: syscall.ENETDOWN}
+	case host != p.m.IP:
+		return nil, &net.OpError{Op: "listen", Net: "tcp4", Err: syscall.EADDRNOTAVAIL}
+	case p.m.listeners[name] != nil:
+		return nil, &net.OpError{Op: "listen", Net: "tcp4", Err: syscall.EADDRINUSE}
+	}
+	l := &listener{p: p, addr: &net.TCPAddr{IP: net.ParseIP(host), Port: port}, quiet: quiet, note: make(chan struct{})}
+	p.m.listeners[name] = l
+	p.ls[l] = true
+	return l, nil
+}
+
+func split(addr string) (string, int, error) {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return "", 0, err
+	}
+	n, err := strconv.Atoi(port)
+	if err != nil || net.ParseIP(host) == nil {
+		return "", 0, fmt.Errorf("sea: %s: an IP and a port wanted", addr)
+	}
+	return host, n, nil
+}
+
+func (l *listener) poke() {
+	close(l.note)
+	l.note = make(chan struct{})
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	s := l.p.m.s
+	for {
+		s.mu.Lock()
+		if l.done {
+			s.mu.Unlock()
+			return nil, &net.OpError{Op: "accept", Net: "tcp4", Addr: l.addr, Err: net.ErrClosed}
+		}
+		if len(l.queue) > 0 && !l.p.m.frozen {
+			c := l.queue[0]
+			l.queue = l.queue[1:]
+			s.mu.Unlock()
+			return c, nil
+		}
+		note := l.note
+		s.mu.Unlock()
+		<-note
+	}
+}
+
+func (l *listener) Close() error {
+	s := l.p.m.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l.done {
+		return &net.OpError{Op: "close", Net: "tcp4", Addr: l.addr, Err: net.ErrClosed}
+	}
+	l.end()
+	return nil
+}
+
+// end ends it. The caller holds s.mu.
+func (l *listener) end() {
+	if l.done {
+		return
+	}
+	l.done = true
+	delete(l.p.m.listeners, l.addr.String())
+	delete(l.p.ls, l)
+	for _, c := range l.queue {
+		c.reset()
+	}
+	l.queue = nil
+	l.poke()
+}
+
+func (l *listener) Addr() net.Addr { return l.addr }
+
+// Dial implements sock.Net.
+func (p *Process) Dial(ctx context.Context, addr string, quiet time.Duration) (net.Conn, error) {
+	host, port, err := split(addr)
+	if err != nil {
+		return nil, err
+	}
+	fail := func(err error) (net.Conn, error) {
+		return nil, &net.OpError{Op: "dial", Net: "tcp4", Addr: &net.TCPAddr{IP: net.ParseIP(host), Port: port}, Err: err}
+	}
+	s := p.m.s
+	wait := func(d time.Duration) error { // or for ever, where d is 0
+		var c <-chan time.Time
+		if d > 0 {
+			t := time.NewTimer(d)
+			defer t.Stop()
+			c = t.C
+		}
+		for {
+			s.mu.Lock()
+			change, ended, off := s.change, p.ended, p.m.off
+			s.mu.Unlock()
+			if ended || off {
+				return net.ErrClosed
+			}
+			select {
+			case <-c:
+				return nil
+			case <-change:
+			case <-ctx.Done():
+				if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+					return os.ErrDeadlineExceeded
+				}
+				return ctx.Err()
+			}
+		}
+	}
+	for {
+		s.mu.Lock()
+		to := s.machines[host]
+		passes := to != nil && s.open(p.m, to) && !p.m.frozen
+		var trip time.Duration
+		if passes {
+			trip = s.latency(p.m, to)
+		}
+		s.mu.Unlock()
+		if !passes {
+			if err := wait(synResend); err != nil {
+				return fail(err)
+			}
+			continue
+		}
+		if err := wait(trip); err != nil { // the opening packet is there
+			return fail(err)
+		}
+		s.mu.Lock()
+		if !s.open(p.m, to) || p.ended {
+			s.mu.Unlock()
+			continue
+		}
+		l := to.listeners[net.JoinHostPort(host, strconv.Itoa(port))]
+		if l == nil {
+			s.mu.Unlock()
+			if err := wait(trip); err != nil {
+				return fail(err)
+			}
+			return fail(syscall.ECONNREFUSED)
+		}
+		if len(l.queue) >= backlog {
+			s.mu.Unlock()
+			if err := wait(synResend); err != nil {
+				return fail(err)
+			}
+			continue
+		}
+		s.nextPort++
+		here := &net.TCPAddr{IP: net.ParseIP(p.m.IP), Port: 32768 + s.nextPort%28000}
+		a := &Conn{p: p, local: here, remote: l.addr, peerM: to, trip: trip}
+		b := &Conn{p: l.p, local: l.addr, remote: here, peerM: p.m, trip: trip, quiet: l.quiet}
+		a.peer, b.peer = b, a
+		a.quiet = quiet
+		for _, c := range []*Conn{a, b} {
+			c.note = make(chan struct{})
+			c.heard = time.Now()
+			c.p.conns[c] = true
+			s.conns[c] = true
+		}
+		l.queue = append(l.queue, b)
+		l.poke()
+		s.mu.Unlock()
+		if err := wait(trip); err != nil {
+			a.Close()
+			return fail(err)
+		}
+		return a, nil
+	}
+}
--- a/internal/gangway/front.go
+++ b/internal/gangway/front.go
@@ -313,7 +313,7 @@
 
 // linger ends the sending and reads on for a while: a connection that closes with bytes unread is reset.
 func (c *client) linger() {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
+	if t, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		t.CloseWrite()
 	}
 	c.SetReadDeadline(time.Now().Add(lingerTime))
--- a/internal/gangway/gangway.go
+++ b/internal/gangway/gangway.go
@@ -16,6 +16,7 @@
 	"saltmast/internal/manifest"
 	"saltmast/internal/plight"
 	"saltmast/internal/signal"
+	"saltmast/internal/sock"
 	"saltmast/internal/tally"
 )
 
@@ -47,6 +48,7 @@
 	AnswerBytes int           // kept of answers to keyed requests
 	MaxConns    int           // of clients
 
+	Net     sock.Net // nil: the system's
 	Council *council.Council
 	News    func(call []byte) ([]byte, error) // answers a PullCall of another proxy; nil: none are
 	Log     func(event, text string)
@@ -66,7 +68,6 @@
 	stopping atomic.Bool
 	mu       sync.Mutex
 	conns    map[*client]bool
-	busy     sync.WaitGroup
 
 	Counts Counts
 }
@@ -84,7 +85,7 @@
 	h := NewHelm()
 	h.Node, h.Zone, h.Ratio, h.Allowance, h.Window = o.Node, o.Zone, o.Ratio, o.Allowance, o.Window
 	h.Rand = rand.New(rand.NewPCG(o.Life, 1))
-	g := &Gangway{o: o, Gate: newGate(o), helm: signal.Own(h, 256), hops: newHops(), conns: map[*client]bool{}}
+	g := &Gangway{o: o, Gate: newGate(o), helm: signal.Own(h, 256), hops: newHops(o.Net), conns: map[*client]bool{}}
 	g.book = signal.Own(tally.NewBook[*Answer](o.KeyWindow, o.AnswerBytes/2), 256)
 	return g
 }
@@ -187,6 +188,19 @@
 	g.Gate.CloseAll()
 }
 
+// End ends what goes on beside requests: the tables take no more commands. Requests under way come to nothing.
+func (g *Gangway) End() {
+	g.mu.Lock()
+	for c := range g.conns {
+		c.Close()
+	}
+	g.mu.Unlock()
+	g.Gate.CloseAll()
+	g.helm.End()
+	g.book.End()
+	g.Gate.book.End()
+}
+
 // Report gives the counts by name.
 func (g *Gangway) Report() map[string]int64 {
 	c, q := &g.Counts, &g.Gate.Counts
--- a/internal/gangway/gate.go
+++ b/internal/gangway/gate.go
@@ -22,6 +22,7 @@
 	"saltmast/internal/pilot"
 	"saltmast/internal/plight"
 	"saltmast/internal/signal"
+	"saltmast/internal/sock"
 	"saltmast/internal/tally"
 )
 
@@ -93,6 +94,7 @@
 func newGate(o Options) *Gate {
 	g := &Gate{o: o, pool: links.New(backendIdle, backendDial, 0), open: map[net.Conn]bool{},
 		berth: berths.Berth{Node: o.Node, Addr: o.GateAddr, Zone: o.Zone, Life: o.Life, Version: 1, Service: o.Service}}
+	g.pool.Net = sock.On(o.Net)
 	g.book = signal.Own(tally.NewBook[*Answer](o.KeyWindow, o.AnswerBytes/2), 256)
 	return g
 }
@@ -650,11 +652,7 @@
 			time.Sleep(5 * time.Millisecond) // of descriptors: some are given back soon
 			continue
 		}
-		if t, ok := c.(*net.TCPConn); ok {
-			if raw, err := t.SyscallConn(); err == nil {
-				raw.Control(func(fd uintptr) { signal.SetOptions(fd, hopQuiet) })
-			}
-		}
+		sock.SetQuiet(c, hopQuiet)
 		g.mu.Lock()
 		g.open[c] = true
 		g.mu.Unlock()
--- a/internal/gangway/hop.go
+++ b/internal/gangway/hop.go
@@ -13,6 +13,7 @@
 	"saltmast/internal/links"
 	"saltmast/internal/plight"
 	"saltmast/internal/signal"
+	"saltmast/internal/sock"
 	"saltmast/internal/tally"
 )
 
@@ -244,9 +245,9 @@
 	hopQuiet = 500 * time.Millisecond // sent bytes that stay unacknowledged for so long end a hop
 )
 
-func newHops() *hops {
+func newHops(n sock.Net) *hops {
 	h := &hops{pool: links.New(hopIdle, hopDial, 0)}
-	h.pool.Control = func(fd uintptr) error { signal.SetOptions(fd, hopQuiet); return nil }
+	h.pool.Net, h.pool.Quiet = sock.On(n), hopQuiet
 	return h
 }
 
--- a/internal/harbour/harbour.go
+++ b/internal/harbour/harbour.go
@@ -22,6 +22,7 @@
 	"saltmast/internal/pilot"
 	"saltmast/internal/plight"
 	"saltmast/internal/signal"
+	"saltmast/internal/sock"
 )
 
 // Options are what a harbourmaster is started with.
@@ -33,6 +34,7 @@
 	Life    uint64          // random, other than 0
 	Control net.Listener    // outside calls
 	Calls   net.Listener    // calls by signal
+	Net     sock.Net        // nil: the system's
 	Log     func(event, text string)
 }
 
@@ -52,7 +54,7 @@
 	Counts  Counts
 	ended   chan struct{}
 	running sync.WaitGroup
-	round   sync.Mutex // one round at a time from here: two would only stand in each other's way
+	round   chan struct{} // holds one while a round runs: one round at a time from here: two would only stand in each other's way
 }
 
 // books are the tables.
@@ -78,7 +80,7 @@
 
 // Start begins to serve.
 func Start(o Options) *Harbour {
-	h := &Harbour{o: o, council: council.New(), ended: make(chan struct{})}
+	h := &Harbour{o: o, council: council.New(o.Net), ended: make(chan struct{}), round: make(chan struct{}, 1)}
 	b := &books{h: h, berths: berths.New(), stands: manifest.Set{}, masters: map[string]codebook.Master{}, pulling: map[string]bool{}}
 	b.masters[o.Self.Name] = o.Self
 	h.own = signal.Own(b, 1024)
@@ -166,7 +168,7 @@
 			}
 		}
 		for _, a := range addrs {
-			c := signal.NewClient(a)
+			c := signal.NewClient(h.o.Net, a)
 			var w codebook.Watched
 			if err := c.Call(codebook.Watch, codebook.WatchCall{}, &w, callTime); err == nil && w.Roll.Epoch > 0 {
 				h.council.Take(w.Roll)
@@ -425,7 +427,7 @@
 
 // follow pulls the berths of another harbourmaster.
 func (h *Harbour) follow(addr string) {
-	c := signal.NewClient(addr)
+	c := signal.NewClient(h.o.Net, addr)
 	defer c.Close()
 	call := codebook.PullCall{Master: &h.o.Self, HoldMs: uint32(pullHold.Milliseconds()), Epoch: 1 << 62}
 	for !h.over() {
@@ -496,8 +498,8 @@
 // propose runs rounds until the items are chosen, or stand already, or can't be.
 func (h *Harbour) propose(items []manifest.Item) error {
 	end := time.Now().Add(changeTime)
-	h.round.Lock()
-	defer h.round.Unlock()
+	h.round <- struct{}{}
+	defer func() { <-h.round }()
 	if time.Until(end) < phaseTime/4 { // others' rounds took the time: the caller comes again
 		return plight.New(plight.Preempted, "")
 	}
--- /dev/null
+++ b/internal/harbour/program.go
@@ -0,0 +1,60 @@
+package harbour
+
+import (
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"saltmast/internal/articles"
+	"saltmast/internal/codebook"
+	"saltmast/internal/launch"
+	"saltmast/internal/signal"
+	"saltmast/internal/sock"
+)
+
+// Program is the registry as a program.
+var Program = launch.Program{Name: "harbourmaster", About: "The registry of the mesh: knows nodes and backends, takes the operator's calls.",
+	Start: func(s *articles.Settings, log func(event, text string)) (launch.Running, error) {
+		return Launch(s, log, nil)
+	}}
+
+// Running is a harbourmaster that was started by settings.
+type Running struct {
+	H *Harbour
+	s *atomic.Pointer[articles.Settings]
+}
+
+// Launch starts by settings. on: nil for the system's network.
+func Launch(s *articles.Settings, log func(event, text string), on sock.Net) (Running, error) {
+	r := Running{s: &atomic.Pointer[articles.Settings]{}}
+	r.s.Store(s)
+	if s.Listen["control-plane"] == "" || s.Port(codebook.GatePort) == "" {
+		return r, fmt.Errorf("%s: listen-addrs.control-plane and %d ephemeral-ports wanted", s.Path, codebook.GatePort+1)
+	}
+	control, err := sock.On(on).Listen(s.Listen["control-plane"], 0)
+	if err != nil {
+		return r, fmt.Errorf("control-plane: %w", err)
+	}
+	calls, err := signal.Listen(on, s.Port(codebook.HarbourPort))
+	if err != nil {
+		return r, err
+	}
+	r.H = Start(Options{Self: codebook.Master{Name: s.NodeName, Addr: s.Port(codebook.HarbourPort), Zone: s.Zone},
+		Purser: s.Port(codebook.PurserPort), First: s.Ports[0], Life: launch.Life(), Control: control, Calls: calls, Net: on, Log: log,
+		Seeds: func() []string { return r.s.Load().Seeds }})
+	return r, nil
+}
+
+// Reload takes other settings: seeds alone may change while it runs.
+func (r Running) Reload(s *articles.Settings) { r.s.Store(s) }
+
+// Stop ends it.
+func (r Running) Stop(grace time.Duration) { r.H.Close(min(grace, 2*time.Second)) }
+
+// Counts are for the log.
+func (r Running) Counts() map[string]int64 {
+	c, s := &r.H.Counts, r.H.Status()
+	return map[string]int64{"pulls": c.Pulls.Load(), "news": c.News.Load(), "changes": c.Changes.Load(), "refused": c.Refused.Load(),
+		"rounds": c.Rounds.Load(), "preempted": c.Preempted.Load(), "taught": c.Taught.Load(), "items": int64(s.Items),
+		"berths": int64(len(s.Berths)), "masters": int64(len(s.Masters)), "fresh_ms": int64(s.FreshMs), "chosen": int64(s.Chosen.N)}
+}
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -24,6 +24,9 @@
 	// Control sets options on the socket of each connection that is dialled, before it connects; an error fails the dial. nil:
 	// none are set. It is set before the first use.
 	Control func(fd uintptr) error
+	// Net, where it is not nil, has the connections dialled, with Quiet, and Control is not used. It is set before the first use.
+	Net   sock.Net
+	Quiet time.Duration
 	// Now is the clock by which connections rest; nil: time.Now. It is set before the first use.
 	Now func() time.Time
 
@@ -114,7 +117,7 @@
 	if p.Control != nil {
 		d.Control = p.control
 	}
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	nc, err := p.dial(ctx, d, addr)
 	if err != nil {
 		p.mu.Lock()
 		p.forget(g)
@@ -124,6 +127,19 @@
 	return &Conn{Conn: nc, group: g}, nil
 }
 
+func (p *Pool) dial(ctx context.Context, d net.Dialer, addr string) (net.Conn, error) {
+	if p.Net == nil {
+		return d.DialContext(ctx, "tcp", addr)
+	}
+	end := time.Now().Add(d.Timeout)
+	if !d.Deadline.IsZero() && d.Deadline.Before(end) {
+		end = d.Deadline
+	}
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	return p.Net.Dial(ctx, addr, p.Quiet)
+}
+
 // control has Control see the socket of a dial.
 func (p *Pool) control(_, _ string, c syscall.RawConn) error {
 	var failed error
--- a/internal/purser/purser.go
+++ b/internal/purser/purser.go
@@ -19,6 +19,7 @@
 	"saltmast/internal/manifest"
 	"saltmast/internal/plight"
 	"saltmast/internal/signal"
+	"saltmast/internal/sock"
 	"saltmast/internal/tally"
 )
 
@@ -51,6 +52,7 @@
 	Seeds     func() []string  // where other pursers may be
 	Window    time.Duration    // keys are kept for so long at least
 	MaxBytes  int64            // on disk
+	Net       sock.Net         // nil: the system's
 	Log       func(event, text string)
 }
 
@@ -103,7 +105,7 @@
 
 // Start begins to serve at o.Addr.
 func Start(o Options) (*Purser, error) {
-	l, err := signal.Listen(o.Addr)
+	l, err := signal.Listen(o.Net, o.Addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/purser/repair.go
+++ b/internal/purser/repair.go
@@ -21,7 +21,6 @@
 
 // mustered is what one other told.
 type mustered struct {
-	from   int
 	m      codebook.Mustered
 	claims []codebook.ClaimCall
 }
@@ -127,7 +126,7 @@
 }
 
 // ask makes one call to each address, and gives the answers that came.
-func ask[T any](addrs []string, kind uint8, call any) (out []T, from []string) {
+func ask[T any](p *Purser, addrs []string, kind uint8, call any) (out []T, from []string) {
 	type told struct {
 		v    T
 		addr string
@@ -136,7 +135,7 @@
 	ch := make(chan told, len(addrs))
 	for _, a := range addrs {
 		go func() {
-			c := signal.NewClient(a)
+			c := signal.NewClient(p.o.Net, a)
 			defer c.Close()
 			t := told{addr: a}
 			t.err = c.Call(kind, call, &t.v, musterTime)
@@ -153,7 +152,7 @@
 
 // enrol learns from others who counts.
 func (p *Purser) enrol(addrs []string) func(*books) {
-	told, _ := ask[codebook.Mustered](addrs, codebook.Muster, codebook.MusterCall{Addr: p.o.Addr})
+	told, _ := ask[codebook.Mustered](p, addrs, codebook.Muster, codebook.MusterCall{Addr: p.o.Addr})
 	var roll codebook.Roll
 	for _, t := range told {
 		if t.Roll.Epoch > roll.Epoch {
@@ -185,7 +184,7 @@
 func (p *Purser) recover(addrs []string, roll codebook.Roll, me int) func(*books) {
 	n := len(roll.Voters)
 	need := n - ballot.Majority(n) + 1 // with fewer others heard, a majority that held this member may have none among them
-	known, _ := ask[codebook.Mustered](addrs, codebook.Muster, codebook.MusterCall{Addr: p.o.Addr})
+	known, _ := ask[codebook.Mustered](p, addrs, codebook.Muster, codebook.MusterCall{Addr: p.o.Addr})
 	if len(known) < need {
 		return nil
 	}
@@ -197,11 +196,11 @@
 	}
 	inc++
 	var got []mustered
-	first, from := ask[codebook.Mustered](addrs, codebook.Muster, codebook.MusterCall{Addr: p.o.Addr, Inc: inc})
+	first, from := ask[codebook.Mustered](p, addrs, codebook.Muster, codebook.MusterCall{Addr: p.o.Addr, Inc: inc})
 	for i, m := range first {
 		one := mustered{m: m, claims: m.Claims}
 		for m.More {
-			c := signal.NewClient(from[i])
+			c := signal.NewClient(p.o.Net, from[i])
 			call := codebook.MusterCall{Addr: p.o.Addr, Inc: inc, From: m.Claims[len(m.Claims)-1].Key}
 			m = codebook.Mustered{}
 			err := c.Call(codebook.Muster, call, &m, musterTime)
--- a/internal/signal/signal.go
+++ b/internal/signal/signal.go
@@ -14,13 +14,12 @@
 	"io"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"golang.org/x/sys/unix"
 
 	"saltmast/internal/plight"
+	"saltmast/internal/sock"
 )
 
 const (
@@ -59,24 +58,6 @@
 	return nil
 }
 
-// SetOptions sets what links between the mesh's machines want of a socket: one whose sent bytes stay unacknowledged for
-// wait, or whose peer answers no keep-alive, ends.
-func SetOptions(fd uintptr, wait time.Duration) error {
-	f := int(fd)
-	return errors.Join(
-		unix.SetsockoptInt(f, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(wait.Milliseconds())),
-		unix.SetsockoptInt(f, unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1),
-		unix.SetsockoptInt(f, unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, 1),
-		unix.SetsockoptInt(f, unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, 1),
-		unix.SetsockoptInt(f, unix.IPPROTO_TCP, unix.TCP_KEEPCNT, 2))
-}
-
-func control(wait time.Duration) func(network, address string, c syscall.RawConn) error {
-	return func(_, _ string, c syscall.RawConn) error {
-		return c.Control(func(fd uintptr) { SetOptions(fd, wait) }) // a system without them does without
-	}
-}
-
 // link is one connection with its queue of bytes to be written.
 type link struct {
 	net.Conn
@@ -213,11 +194,8 @@
 	return s
 }
 
-// Listen listens at an address of this machine for links between the mesh's programs.
-func Listen(addr string) (net.Listener, error) {
-	lc := net.ListenConfig{Control: control(silence), KeepAlive: -1}
-	return lc.Listen(context.Background(), "tcp4", addr)
-}
+// Listen listens at an address of this machine for links between the mesh's programs. n: nil for the system's network.
+func Listen(n sock.Net, addr string) (net.Listener, error) { return sock.On(n).Listen(addr, silence) }
 
 func (s *Server) accept() {
 	for {
@@ -229,11 +207,7 @@
 			time.Sleep(10 * time.Millisecond) // out of descriptors: some are given back soon
 			continue
 		}
-		if t, ok := c.(*net.TCPConn); ok {
-			if raw, err := t.SyscallConn(); err == nil {
-				raw.Control(func(fd uintptr) { SetOptions(fd, silence) })
-			}
-		}
+		sock.SetQuiet(c, silence)
 		l := newLink(c)
 		s.mu.Lock()
 		if s.ended {
@@ -276,6 +250,7 @@
 // Client calls one peer. The connection is made when it is needed and made again after it ended; calls that were under
 // way then fail with plight.Broken, those that never left with plight.Away.
 type Client struct {
+	net  sock.Net
 	addr string
 
 	mu      sync.Mutex
@@ -301,9 +276,9 @@
 	body []byte
 }
 
-// NewClient returns a client of the peer at addr. Nothing is dialled yet.
-func NewClient(addr string) *Client {
-	return &Client{addr: addr, waiting: map[uint32]*pending{}}
+// NewClient returns a client of the peer at addr. Nothing is dialled yet. n: nil for the system's network.
+func NewClient(n sock.Net, addr string) *Client {
+	return &Client{net: sock.On(n), addr: addr, waiting: map[uint32]*pending{}}
 }
 
 // Addr is the peer's address.
@@ -387,8 +362,9 @@
 }
 
 func (c *Client) dial() {
-	d := net.Dialer{Timeout: DialTime, KeepAlive: -1, Control: control(silence)}
-	nc, err := d.Dial("tcp4", c.addr)
+	ctx, cancel := context.WithTimeout(context.Background(), DialTime)
+	nc, err := c.net.Dial(ctx, c.addr, silence)
+	cancel()
 	c.mu.Lock()
 	c.dialing = false
 	if err != nil || c.closed {
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -9,6 +9,9 @@
 // Look peeks at a socket without waiting. quiet: nothing has come and the other side has not closed it.
 // bytes: something is there to be read.
 func Look(c net.Conn) (quiet, bytes bool) {
+	if l, ok := c.(looker); ok {
+		return l.Quiet()
+	}
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return false, false
@@ -28,12 +31,18 @@
 	return peeked == syscall.EAGAIN, peeked == nil && n > 0
 }
 
+// looker is a connection that is no socket of the system and can tell by itself.
+type looker interface {
+	Quiet() (quiet, bytes bool)
+}
+
 // Closed reports whether the other side has closed its half, or broken the connection, and nothing that it sent before waits
 // to be read.
 func Closed(c net.Conn) bool {
 	_, ok := c.(syscall.Conn)
+	_, own := c.(looker)
 	quiet, bytes := Look(c)
-	return ok && !quiet && !bytes
+	return (ok || own) && !quiet && !bytes
 }
 
 // Pending reports whether bytes wait to be read.
--- a/internal/tug/tug.go
+++ b/internal/tug/tug.go
@@ -22,12 +22,14 @@
 	"saltmast/internal/pilot"
 	"saltmast/internal/plight"
 	"saltmast/internal/signal"
+	"saltmast/internal/sock"
 )
 
 // Tug is one proxy.
 type Tug struct {
 	s       atomic.Pointer[articles.Settings]
 	log     func(event, text string)
+	net     sock.Net
 	way     *gangway.Gangway
 	council *council.Council
 	life    uint64
@@ -60,18 +62,21 @@
 
 // Program is the proxy as a program.
 var Program = launch.Program{Name: "tug", About: "The proxy of the mesh: carries the requests of one machine.",
-	Start: func(s *articles.Settings, log func(event, text string)) (launch.Running, error) { return Start(s, log) }}
+	Start: func(s *articles.Settings, log func(event, text string)) (launch.Running, error) {
+		return Start(s, log, nil)
+	}}
 
-// Start begins to serve by the settings.
-func Start(s *articles.Settings, log func(event, text string)) (*Tug, error) {
-	t := &Tug{log: log, council: council.New(), life: launch.Life(), table: berths.New(), stands: manifest.Set{},
+// Start begins to serve by the settings. on: nil for the system's network.
+func Start(s *articles.Settings, log func(event, text string), on sock.Net) (*Tug, error) {
+	on = sock.On(on)
+	t := &Tug{log: log, net: on, council: council.New(on), life: launch.Life(), table: berths.New(), stands: manifest.Set{},
 		news: make(chan struct{}, 1), ended: make(chan struct{})}
 	t.s.Store(s)
 	listen := func(addr string) (net.Listener, error) {
 		if addr == "" {
 			return nil, nil
 		}
-		l, err := net.Listen("tcp4", addr)
+		l, err := on.Listen(addr, 0)
 		if err == nil {
 			t.fronts = append(t.fronts, l)
 		}
@@ -92,12 +97,12 @@
 	t.way = gangway.New(gangway.Options{Node: s.NodeName, Zone: s.Zone, Service: s.Service, App: s.AppAddr, GateAddr: gateAddr,
 		Life: t.life, Begun: time.Now(), Heartbeat: s.Heartbeat, Ratio: s.Bounds.RetryRatio, Allowance: s.Bounds.RetryAllowance,
 		Window: s.Bounds.RetryWindow, KeyWindow: s.Bounds.DedupWindow + keyMargin, AnswerBytes: answers, MaxConns: conns,
-		Council: t.council, News: t.newsFor, Log: log})
+		Net: on, Council: t.council, News: t.newsFor, Log: log})
 	t.way.Gate.OnChange(func(b berths.Berth) {
 		t.way.Hear(b)
 		t.tell()
 	})
-	gate, err := signal.Listen(gateAddr)
+	gate, err := signal.Listen(on, gateAddr)
 	if err != nil {
 		return nil, fmt.Errorf("gate: %w", err)
 	}
@@ -235,7 +240,7 @@
 
 // pullFrom pulls from one harbourmaster until that is of no more use. good: it was of some.
 func (t *Tug) pullFrom(addr string) (good bool) {
-	c := signal.NewClient(addr)
+	c := signal.NewClient(t.net, addr)
 	defer c.Close()
 	type result struct {
 		body []byte
@@ -435,9 +440,23 @@
 		l.Close()
 	}
 	t.way.Stop(grace - time.Since(begun))
+	t.end()
+}
+
+func (t *Tug) end() {
 	close(t.ended)
 	for _, s := range t.servers {
 		s.Close()
 	}
 	t.council.Close()
+	t.way.End()
+}
+
+// Kill ends at once, as the end of the process would: nothing is finished, and nobody is told.
+func (t *Tug) Kill() {
+	t.stopping.Store(true)
+	for _, l := range t.fronts {
+		l.Close()
+	}
+	t.end()
 }
