--- a/internal/tug/tug.go
+++ b/internal/tug/tug.go
@@ -207,7 +207,7 @@
 
 // pull keeps pulling, from one harbourmaster as long as it answers and has heard a majority, else from the next.
 func (t *Tug) pull() {
-	for {
+	for !t.over() {
 		some := false
 		for _, addr := range t.candidates() {
 			if t.pullFrom(addr) {
