--- /dev/null
+++ b/internal/drydock/day.go
@@ -0,0 +1,77 @@
+package drydock
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"saltmast/internal/drydock/surveyor"
+)
+
+// Day is a kind of day: what happens in it besides clients.
+type Day struct {
+	Name   string
+	Floor  float64 // part of requests to be served at least
+	Length time.Duration
+	Faults Faults
+	Events func(w *World, op *operator)
+}
+
+const (
+	clientsFrom = 2500 * time.Millisecond
+	rate        = 15 // requests a second at each of the 4 machines
+)
+
+// Play plays a day and gives what was broken, with its log.
+func Play(t testing.TB, d Day, seed uint64, flaw Flaw) (l *surveyor.Log, broken []surveyor.Broken, notes []string) {
+	t.Helper()
+	dir := scratch(t)
+	bubble(t, func(t testing.TB) {
+		w := newWorld(seed, dir)
+		w.flaw, w.fault = flaw, d.Faults
+		w.log.Floor = d.Floor
+		w.begin(t)
+		op := w.operator("10.9.0.2")
+		w.until(200 * time.Millisecond)
+		if !op.send(&surveyor.Call{Items: first()}, int(seed%3), 10*time.Second) {
+			t.Errorf("the first configuration was not taken")
+		}
+		w.until(clientsFrom)
+		for _, m := range w.tugs {
+			w.people.Go(func() { m.clients(rate, d.Length) })
+		}
+		if d.Events != nil {
+			d.Events(w, op)
+		}
+		w.until(d.Length + 2500*time.Millisecond)
+		op.readBack()
+		w.log.End = w.now()
+		w.end()
+		op.p.End()
+		l, notes = w.log, w.notes
+		time.Sleep(10 * time.Second) // what was killed comes to its end
+	})
+	if l == nil {
+		return nil, nil, nil
+	}
+	return l, surveyor.Judge(l), notes
+}
+
+// bubble runs f in a bubble of virtual time.
+func bubble(t testing.TB, f func(t testing.TB)) {
+	synctest.Test(t.(*testing.T), func(t *testing.T) { f(t) })
+}
+
+// Report is the seed of a day that broke a rule, with the lines of the first.
+func Report(d Day, seed uint64, broken []surveyor.Broken, notes []string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "day %s, seed %d: %d breaches; play it by DRYDOCK_DAY=%s DRYDOCK_SEED=%d\n%s\n", d.Name, seed, len(broken), d.Name, seed, broken[0])
+	count := map[string]int{}
+	for _, x := range broken {
+		count[x.Rule]++
+	}
+	fmt.Fprintln(&b, "all:", count)
+	return b.String()
+}
--- /dev/null
+++ b/internal/drydock/world.go
@@ -0,0 +1,361 @@
+// Package drydock plays days of the mesh in virtual time: its real rooms in one process on a network in memory, with seeded
+// troubles, stand-ins for backends, clients and the operator, and a surveyor who judges what these saw. Start reading at Play.
+package drydock
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"saltmast/internal/articles"
+	"saltmast/internal/drydock/sea"
+	"saltmast/internal/drydock/surveyor"
+	"saltmast/internal/harbour"
+	"saltmast/internal/purser"
+	"saltmast/internal/sock"
+	"saltmast/internal/tug"
+)
+
+// The places of every machine.
+const (
+	portReady   = "8141"
+	portControl = "8144"
+	portApp     = "8145"
+	portOut     = "8147"
+	firstFree   = 7380
+	lastFree    = 7395
+)
+
+// World is one day's machines.
+type World struct {
+	seed  uint64
+	dir   string
+	sea   *sea.Sea
+	begun time.Time
+	log   *surveyor.Log
+	flaw  Flaw
+	fault Faults
+
+	core []*coreMachine
+	tugs []*tugMachine
+	all  []*sea.Machine
+
+	sealMu sync.Mutex
+	seals  int
+
+	noteMu sync.Mutex
+	notes  []string
+
+	ending chan struct{}
+	people sync.WaitGroup // clients, operator, platform
+}
+
+// Faults are what backends do wrong, as parts of their requests.
+type Faults struct {
+	Lose, Cut, Late, Full, Fail float64
+}
+
+// Flaw makes a world break a rule, to see whether the surveyor notices.
+type Flaw struct {
+	Settings func(s *articles.Settings)                         // other than the rules say
+	Between  func(m *tugMachine, r *request, a *answer) *answer // what a client gets instead
+	Beat     func(m *tugMachine, state string) bool             // a beat is acknowledged and not passed on
+	Twice    func(m *tugMachine, r *request) bool               // a backend runs it a second time
+}
+
+// coreMachine keeps what must last.
+type coreMachine struct {
+	w    *World
+	n    int
+	m    *sea.Machine
+	name string
+	dir  string
+	boot bool
+	p, h *sea.Process
+	pr   purser.Running
+	hr   harbour.Running
+	gone chan struct{} // closed once the last life's disk is let go
+}
+
+// tugMachine has a backend, a proxy and clients.
+type tugMachine struct {
+	w       *World
+	n       int
+	m       *sea.Machine
+	name    string
+	service string
+	proc    *sea.Process
+	tug     *tug.Tug
+	people  *sea.Process // clients and platform: they end with the machine's power alone
+
+	mu      sync.Mutex
+	backend *backend
+	lives   int
+	in      bool // the platform lets clients come
+}
+
+// newWorld lays out 3 core machines and 4 with backends, in 3 zones.
+func newWorld(seed uint64, dir string) *World {
+	w := &World{seed: seed, dir: dir, sea: sea.New(seed), begun: time.Now(), ending: make(chan struct{})}
+	w.log = &surveyor.Log{Backed: map[string]string{}, Bounds: surveyor.Bounds{Contact: 3 * time.Second, Apply: 2500 * time.Millisecond,
+		Rollback: 250 * time.Millisecond, Drain: 2500 * time.Millisecond, Grace: 6 * time.Second, LossSlack: 200 * time.Millisecond,
+		Window: 10 * time.Second, Dedup: time.Minute, Recovery: 4 * time.Second, Ratio: 0.2, Allowance: 60}}
+	zones := []string{"east", "west", "south"}
+	for i := range 3 {
+		c := &coreMachine{w: w, n: i, name: fmt.Sprintf("core-%d", i+1), boot: true, dir: filepath.Join(dir, fmt.Sprintf("core-%d", i+1))}
+		c.m = w.sea.Machine(fmt.Sprintf("10.%d.0.2", i+1), zones[i])
+		c.gone = make(chan struct{})
+		close(c.gone)
+		w.core = append(w.core, c)
+		w.all = append(w.all, c.m)
+	}
+	services := []string{"pump", "ledger"}
+	for i := range 4 {
+		m := &tugMachine{w: w, n: i, name: fmt.Sprintf("side-%d", i+1), service: services[i%2]}
+		m.m = w.sea.Machine(fmt.Sprintf("10.%d.0.%d", i/2+1, 10+i), zones[i/2])
+		w.log.Backed[m.name] = m.service
+		w.tugs = append(w.tugs, m)
+		w.all = append(w.all, m.m)
+	}
+	return w
+}
+
+func (w *World) now() time.Duration { return time.Since(w.begun) }
+
+// rand draws for one part of the day, so that no part's draws depend on another's course.
+func (w *World) rand(part string) *rand.Rand {
+	return rand.New(rand.NewPCG(w.seed, sum64([]byte(part))))
+}
+
+func sum64(b []byte) uint64 {
+	h := fnv.New64a()
+	h.Write(b)
+	return h.Sum64()
+}
+
+func sum(b []byte) string { return fmt.Sprintf("%d-%016x", len(b), sum64(b)) }
+
+// note keeps a line of what the rooms log.
+func (w *World) note(who string) func(event, text string) {
+	return func(event, text string) {
+		w.noteMu.Lock()
+		defer w.noteMu.Unlock()
+		w.notes = append(w.notes, fmt.Sprintf("%8.3f %s %s: %s", w.now().Seconds(), who, event, text))
+	}
+}
+
+func (w *World) settings(name, ip, zone string, boot bool) *articles.Settings {
+	s := &articles.Settings{NodeName: name, IP: ip, Zone: zone, Ports: [2]int{firstFree, lastFree}, Bootstrap: boot,
+		Listen: map[string]string{}, Heartbeat: 1300 * time.Millisecond, Bounds: articles.DefaultBounds(), MemoryMB: 200, Descriptors: 4000}
+	for _, c := range w.core {
+		s.Seeds = append(s.Seeds, net.JoinHostPort(c.m.IP, portControl))
+	}
+	if w.flaw.Settings != nil {
+		w.flaw.Settings(s)
+	}
+	return s
+}
+
+// ---- Core ----
+
+func (c *coreMachine) start() error {
+	<-c.gone
+	s := c.w.settings(c.name, c.m.IP, c.m.Zone, c.boot)
+	c.boot = false
+	s.DataDir, s.DiskMB = c.dir, 64
+	s.Listen["control-plane"] = net.JoinHostPort(c.m.IP, portControl)
+	c.p, c.h = c.m.Start(), c.m.Start()
+	var err error
+	if c.pr, err = purser.Launch(s, c.w.note(c.name+" purser"), c.p); err != nil {
+		return err
+	}
+	c.hr, err = harbour.Launch(s, c.w.note(c.name+" harbour"), c.h)
+	return err
+}
+
+// kill ends its processes at once; the disk stays.
+func (c *coreMachine) kill() {
+	gone := make(chan struct{})
+	c.gone = gone
+	c.p.End()
+	c.h.End()
+	go c.hr.Stop(0)
+	go func() {
+		c.pr.Stop(0)
+		close(gone)
+	}()
+}
+
+func (c *coreMachine) wipe() error {
+	<-c.gone
+	return os.RemoveAll(c.dir)
+}
+
+// ---- Machines with backends ----
+
+func (m *tugMachine) start() error {
+	s := m.w.settings(m.name, m.m.IP, m.m.Zone, false)
+	s.Bootstrap = m.w.now() < time.Second
+	s.Service, s.AppAddr = m.service, net.JoinHostPort(m.m.IP, portApp)
+	for name, port := range map[string]string{"outbound": portOut, "readiness": portReady, "control-plane": portControl} {
+		s.Listen[name] = net.JoinHostPort(m.m.IP, port)
+	}
+	m.proc = m.m.Start()
+	var err error
+	m.tug, err = tug.Start(s, m.w.note(m.name+" tug"), m.proc)
+	return err
+}
+
+func (m *tugMachine) kill() {
+	m.proc.End()
+	m.tug.Kill()
+}
+
+// stop ends the proxy in order.
+func (m *tugMachine) stop() {
+	m.tug.Stop(m.w.log.Bounds.Grace - 500*time.Millisecond)
+	m.proc.End()
+}
+
+// ---- Troubles ----
+
+// trouble notes a trouble from now until what it returns is called.
+func (w *World) trouble(kind, machine string, core bool) (over func()) {
+	t := &surveyor.Trouble{Kind: kind, Machine: machine, Core: core, From: w.now(), To: 1 << 60}
+	w.log.AddTrouble(t)
+	return func() { t.To = w.now() }
+}
+
+// sleep waits until a time of the day.
+func (w *World) until(at time.Duration) { time.Sleep(at - w.now()) }
+
+func (w *World) over() bool {
+	select {
+	case <-w.ending:
+		return true
+	default:
+		return false
+	}
+}
+
+// pause waits, and reports whether the day goes on.
+func (w *World) pause(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-w.ending:
+		return false
+	}
+}
+
+// begin starts all machines and the operator's first configuration, and waits until clients may come.
+func (w *World) begin(t testing.TB) {
+	t.Helper()
+	for _, c := range w.core {
+		if err := c.start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, m := range w.tugs {
+		if err := m.start(); err != nil {
+			t.Fatal(err)
+		}
+		m.people = m.m.Start()
+		m.startBackend()
+		w.people.Go(m.platform)
+	}
+}
+
+// end ends all that runs.
+func (w *World) end() {
+	close(w.ending)
+	w.people.Wait()
+	for _, m := range w.tugs {
+		m.endBackend()
+		m.kill()
+		m.people.End()
+	}
+	for _, c := range w.core {
+		c.kill()
+		<-c.gone
+	}
+}
+
+// ---- HTTP by hand ----
+
+// request is one request as a stand-in sends it.
+type request struct {
+	method, host, path string
+	header             [][2]string
+	body               []byte
+	chunked            bool
+}
+
+func (r *request) bytes() []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.method, r.path, r.host)
+	for _, h := range r.header {
+		fmt.Fprintf(&b, "%s: %s\r\n", h[0], h[1])
+	}
+	switch {
+	case r.chunked:
+		b.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+		for p := r.body; len(p) > 0; {
+			k := min(len(p), 700)
+			fmt.Fprintf(&b, "%x\r\n%s\r\n", k, p[:k])
+			p = p[k:]
+		}
+		b.WriteString("0\r\n\r\n")
+	case len(r.body) > 0 || r.method != "GET":
+		fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(r.body), r.body)
+	default:
+		b.WriteString("\r\n")
+	}
+	return []byte(b.String())
+}
+
+func (r *request) get(name string) string {
+	for _, h := range r.header {
+		if h[0] == name {
+			return h[1]
+		}
+	}
+	return ""
+}
+
+// dialFor dials within a time.
+func dialFor(on sock.Net, addr string, d time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	return on.Dial(ctx, addr, 0)
+}
+
+// call makes one call of the system's own interfaces, on a connection of its own.
+func call(on sock.Net, addr, method, path string, body []byte, wait time.Duration) (status int, got []byte, err error) {
+	end := time.Now().Add(wait)
+	c, err := dialFor(on, addr, wait)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer c.Close()
+	c.SetDeadline(end)
+	r := request{method: method, host: addr, path: path, body: body, header: [][2]string{{"Content-Type", "application/json"}, {"Connection", "close"}}}
+	if _, err := c.Write(r.bytes()); err != nil {
+		return 0, nil, err
+	}
+	a, err := readAnswer(newReader(c))
+	if err != nil {
+		return 0, nil, err
+	}
+	return a.status, a.body, nil
+}
