Purser: what was chosen is taken whatever was promised; a repair begins at once

Cause: after a reading round a member that had missed a change refused to be taught, as its promise stood above, and was sent the whole set again each second; a repair waited for the next tick; a disk that can't be opened wrote four lines a second. A call of over 1 MiB could never be written: bound 768 KiB, answered 413.

--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -15,10 +15,10 @@
 	"saltmast/internal/plight"
 )
 
-// MaxBeat and MaxConfiguration bound the bodies of calls, in bytes.
+// MaxBeat and MaxConfiguration bound the bodies of calls, in bytes: a call comes into force as a whole, by one write to disk.
 const (
 	MaxBeat          = 64 << 10
-	MaxConfiguration = 16 << 20
+	MaxConfiguration = 768 << 10
 )
 
 // Port is what one program serves.
--- a/internal/purser/purser.go
+++ b/internal/purser/purser.go
@@ -95,6 +95,7 @@
 	queued    []func(*books)
 	watchers  []*watcher
 	mustering bool
+	trouble   string // why the disk could not be opened, as the log has it
 }
 
 type watcher struct {
@@ -206,9 +207,13 @@
 	disk, found, err := b.p.begin(hold.Options{Dir: b.p.o.Dir, MaxBytes: b.p.o.MaxBytes,
 		Log: func(s string) { b.p.o.Log("disk", s) }})
 	if err != nil {
-		b.p.o.Log("disk", err.Error())
+		if text := err.Error(); text != b.trouble {
+			b.trouble = text
+			b.p.o.Log("disk", text)
+		}
 		return
 	}
+	b.trouble = ""
 	b.p.o.Log("disk", "found "+found.String())
 	b.forget()
 	b.disk = disk
@@ -234,6 +239,9 @@
 	default:
 		b.set(NoRoll)
 	}
+	if b.state == NoRoll || b.state == Repairing {
+		b.repair()
+	}
 }
 
 // found begins the very first epoch.
@@ -474,12 +482,19 @@
 		b.queued = append(b.queued, func(b *books) { b.again(c, b.accept(c, m)) })
 		return nil
 	}
-	if !b.acc.May(m.B, m.Base) || m.Chosen && !b.acc.Accepted.Less(m.B) {
+	may := b.acc.May(m.B, m.Base)
+	if m.Chosen { // whatever was promised: a round that was promised more finds this value with another member, or this one
+		may = b.acc.Accepted.Less(m.B) && m.Base.IsZero()
+	}
+	if !may {
 		c.Reply(codebook.Accepted{Vouch: b.vouch(), Promised: b.acc.Promised, Accepted: b.acc.Accepted}, nil)
 		return nil
 	}
 	next := b.acc.Next(m.Changes, m.Base.IsZero())
-	puts := []hold.Put{putBallot("promised", m.B), putBallot("accepted", m.B)}
+	puts := []hold.Put{putBallot("accepted", m.B)}
+	if b.acc.Promised.Less(m.B) {
+		puts = append(puts, putBallot("promised", m.B))
+	}
 	if m.Chosen {
 		puts = append(puts, putBallot("chosen", m.B))
 	}
