--- a/internal/roster/table.go
+++ b/internal/roster/table.go
@@ -226,10 +226,13 @@
 		t.tell(e, n.By)
 		return false
 	case e.state == Left:
-		if n.State == Left {
-			e.since = min(e.since, now-age)
+		if n.State != Left {
+			return true
+		}
+		if e.since = min(e.since, now-age); m.Incarnation > e.m.Incarnation {
+			t.change(e, now, m, Left, e.since)
 		}
-		return n.State != Left
+		return m.Incarnation < e.m.Incarnation
 	case n.State == Left:
 		t.change(e, now, m, Left, now-age)
 		t.tell(e, "")
--- /dev/null
+++ b/internal/roster/udp/udp_test.go
@@ -0,0 +1,90 @@
+package udp
+
+import (
+	"errors"
+	"fmt"
+	"math/rand"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"saltmast/internal/roster"
+)
+
+// harbour is three carriages on loopback, each with a channel on which its owner's changes arrive.
+func launch(t *testing.T, i int, seeds []netip.AddrPort) (*Carriage, netip.AddrPort, chan roster.Change) {
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	changes := make(chan roster.Change, 1000)
+	c := Start(Options{
+		Conn: conn,
+		Roster: roster.Options{
+			Self:   roster.Member{Name: fmt.Sprint("tug-", i), Life: uint64(i + 1), Addr: addr},
+			Seeds:  seeds,
+			Rand:   rand.New(rand.NewSource(int64(i))),
+			Period: 50 * time.Millisecond,
+		},
+		OnChange: func(cs []roster.Change) {
+			for _, ch := range cs {
+				changes <- ch
+			}
+		},
+	})
+	t.Cleanup(func() { c.Close() })
+	return c, addr, changes
+}
+
+// await reads changes until one says that a member is in a state.
+func await(t *testing.T, changes chan roster.Change, name string, s roster.State) {
+	t.Helper()
+	bound := time.After(20 * time.Second)
+	for {
+		select {
+		case c := <-changes:
+			if c.Is.Name == name && c.Is.State == s {
+				return
+			}
+		case <-bound:
+			t.Fatalf("%s does not become %v", name, s)
+		}
+	}
+}
+
+func TestThreeOnLoopback(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	a, addr, fromA := launch(t, 0, nil)
+	b, _, fromB := launch(t, 1, []netip.AddrPort{addr})
+	c, _, _ := launch(t, 2, []netip.AddrPort{addr})
+	await(t, fromA, "tug-1", roster.Alive)
+	await(t, fromB, "tug-2", roster.Alive)
+	if s := a.Snapshot(); len(s.Members) < 2 || s.Members[0].Name != "tug-0" {
+		t.Errorf("the snapshot is %+v", s)
+	}
+	if err := b.SetMeta([]byte("berth 7")); err != nil {
+		t.Error(err)
+	}
+	if err := b.SetMeta(make([]byte, roster.MetaBytes+1)); !errors.Is(err, roster.ErrMember) {
+		t.Errorf("too much meta: %v", err)
+	}
+	b.Heard("tug-0")
+	if err := b.Leave(); err != nil {
+		t.Error(err)
+	}
+	await(t, fromA, "tug-1", roster.Left)
+	c.Close()
+	await(t, fromA, "tug-2", roster.Dead)
+	for _, x := range []*Carriage{a, b} {
+		if err := x.Close(); err != nil {
+			t.Error(err)
+		}
+		if err := x.SetSeeds(nil); !errors.Is(err, ErrClosed) {
+			t.Errorf("after Close: %v", err)
+		}
+	}
+}
