Duty: leases that a majority grants and their holder ends first; teaching goes by one

Need: a thing that one agent has to do. Change: internal/duty (pure), granted by pursers in memory with a quiet span after a start, used for telling members what they missed, which all harbourmasters did at once.

--- a/internal/codebook/codebook.go
+++ b/internal/codebook/codebook.go
@@ -8,6 +8,7 @@
 
 	"saltmast/internal/ballot"
 	"saltmast/internal/berths"
+	"saltmast/internal/duty"
 	"saltmast/internal/manifest"
 	"saltmast/internal/tally"
 )
@@ -39,6 +40,7 @@
 	Muster                   // MusterCall, Mustered: from a member that lost its disk
 	Pull                     // to harbourmasters: PullCall, News
 	Report                   // to any program: nothing, what it knows
+	Lease                    // to pursers: LeaseCall, Leased
 )
 
 // Voter is a member of those that count: where its purser is.
@@ -178,3 +180,16 @@
 	Masters []Master        `cbor:"7,keyasint,omitempty"`
 	FreshMs uint32          `cbor:"8,keyasint"` // since it heard a majority of those that count
 }
+
+// LeaseCall asks a member for a duty, or gives it back.
+type LeaseCall struct {
+	Duty  duty.Name `cbor:"1,keyasint"`
+	By    uint64    `cbor:"2,keyasint"`
+	Give  bool      `cbor:"3,keyasint"`
+	Epoch uint64    `cbor:"4,keyasint"`
+}
+
+// Leased answers a LeaseCall.
+type Leased struct {
+	Given bool `cbor:"1,keyasint"`
+}
--- a/internal/harbour/harbour.go
+++ b/internal/harbour/harbour.go
@@ -18,6 +18,7 @@
 	"saltmast/internal/berths"
 	"saltmast/internal/codebook"
 	"saltmast/internal/council"
+	"saltmast/internal/duty"
 	"saltmast/internal/manifest"
 	"saltmast/internal/pilot"
 	"saltmast/internal/plight"
@@ -70,6 +71,8 @@
 	masters map[string]codebook.Master
 	pulling map[string]bool
 	pullers []*puller
+	begun   time.Time
+	lease   duty.Lease // of teaching
 }
 
 type puller struct {
@@ -81,7 +84,7 @@
 // Start begins to serve.
 func Start(o Options) *Harbour {
 	h := &Harbour{o: o, council: council.New(o.Net), ended: make(chan struct{}), round: make(chan struct{}, 1)}
-	b := &books{h: h, berths: berths.New(), stands: manifest.Set{}, masters: map[string]codebook.Master{}, pulling: map[string]bool{}}
+	b := &books{h: h, berths: berths.New(), stands: manifest.Set{}, masters: map[string]codebook.Master{}, pulling: map[string]bool{}, begun: time.Now()}
 	b.masters[o.Self.Name] = o.Self
 	h.own = signal.Own(b, 1024)
 	h.port = &pilot.Port{Change: h.change, Configure: h.configure,
@@ -231,7 +234,7 @@
 	b.take(w.Chosen, w.Items)
 	switch {
 	case w.Accepted.Less(b.chosen):
-		if b.behind[place]++; b.behind[place] >= 2 {
+		if b.behind[place]++; b.behind[place] >= 2 && b.mayTeach() {
 			b.behind[place] = 0
 			b.teach(place)
 		}
@@ -270,6 +273,39 @@
 	b.wake()
 }
 
+// mayTeach reports whether teaching is this harbourmaster's duty, and else asks for it: all of them see who is behind, and
+// one is enough to tell.
+func (b *books) mayTeach() bool {
+	now := time.Since(b.begun)
+	if b.lease.Holds(now) {
+		return true
+	}
+	roll := b.h.council.Roll()
+	if b.lease.Members = len(roll.Voters); rand.IntN(2) > 0 || !b.lease.Due(now) {
+		return false
+	}
+	asked := b.lease.Asked()
+	call := codebook.LeaseCall{Duty: duty.Teach, By: b.h.o.Life, Epoch: roll.Epoch}
+	go func() {
+		given := 0
+		ask := signal.Encode(call)
+		b.h.council.Gather(codebook.Lease, func(int) []byte { return ask }, phaseTime, func(t council.Told) bool {
+			var l codebook.Leased
+			if t.Err == nil && signal.Decode(t.Body, &l) == nil && l.Given {
+				given++
+				b.h.own.Send(func(b *books) { b.lease.Granted(asked, t.Place) })
+			}
+			return false
+		})
+		if given < ballot.Majority(len(roll.Voters)) { // parts of it would keep others from it
+			call.Give = true
+			give := signal.Encode(call)
+			b.h.council.Gather(codebook.Lease, func(int) []byte { return give }, phaseTime, func(council.Told) bool { return false })
+		}
+	}()
+	return false
+}
+
 // teach tells a member that missed it what was chosen.
 func (b *books) teach(place int) {
 	c := b.h.council.Client(place)
--- a/internal/purser/purser.go
+++ b/internal/purser/purser.go
@@ -15,6 +15,7 @@
 
 	"saltmast/internal/ballot"
 	"saltmast/internal/codebook"
+	"saltmast/internal/duty"
 	"saltmast/internal/hold"
 	"saltmast/internal/manifest"
 	"saltmast/internal/plight"
@@ -88,6 +89,7 @@
 	disk      disk // nil: there is none
 	acc       *ballot.Acceptor
 	ledger    *tally.Ledger
+	duties    *duty.Ledger
 	roll      codebook.Roll
 	me        int      // place in the roll; -1: none
 	incs      []uint64 // by place
@@ -117,7 +119,7 @@
 func StartOn(o Options, l net.Listener) *Purser {
 	p := &Purser{o: o, ended: make(chan struct{}), begin: openHold}
 	p.later = func(f func(*books)) { go p.own.Send(f) }
-	b := &books{p: p, begun: time.Now(), state: NoDisk, me: -1}
+	b := &books{p: p, begun: time.Now(), state: NoDisk, me: -1, duties: duty.NewLedger(0)}
 	b.clear()
 	p.own = signal.Own(b, 1024)
 	p.server = signal.Serve(l, p.handle)
@@ -397,6 +399,8 @@
 		return with(c, b.release)
 	case codebook.Muster:
 		return with(c, b.muster)
+	case codebook.Lease:
+		return with(c, b.lease)
 	case codebook.Report:
 		c.Reply(b.watched(manifest.Ballot{}), nil)
 		return nil
@@ -620,6 +624,20 @@
 	return nil
 }
 
+// lease grants a duty, or takes it back.
+func (b *books) lease(c signal.Call, m codebook.LeaseCall) error {
+	if m.Give {
+		b.duties.Give(m.Duty, m.By)
+		c.Reply(codebook.Leased{}, nil)
+		return nil
+	}
+	if err := b.counts(m.Epoch); err != nil {
+		return err
+	}
+	c.Reply(codebook.Leased{Given: b.duties.Grant(b.now(), m.Duty, m.By)}, nil)
+	return nil
+}
+
 // expireAtOnce bounds the keys that one tick forgets.
 const expireAtOnce = 512
 
