--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -19,10 +19,10 @@
 			frozen int
 		}
 		type message struct {
-			at             int
-			agent, member  int
-			asked          time.Duration
-			answer, repeat bool
+			at            int
+			agent, member int
+			asked         time.Duration
+			answer        bool
 		}
 		agents := []*agent{{lease: Lease{Members: 3}, rate: 0.99}, {lease: Lease{Members: 3}, rate: 1.01}}
 		var members []*Ledger
