Harbour: settling rounds don't pile up, and who knows more is not answered at once

While rounds fail (a full disk, say) each member that holds something pending began another round every 0.4 s; each took 0.85 s, one at a time, so they piled up, and the operator's calls waited behind them beyond the second that their callers wait. And a harbourmaster that has no roll yet answered everyone who has one at once, so that the pulls between two went round without a pause; pursers likewise.

One settling round runs or waits at a time; a call waits for its turn until its time is up. A roll is news to those whose epoch is lower.

--- a/internal/ballot/explore_test.go
+++ b/internal/ballot/explore_test.go
@@ -44,11 +44,11 @@
 }
 
 type round struct {
-	begun, based bool
-	base         uint8           // what its value was built on, where it is based
-	acked        bool            // somebody took its value for chosen
-	promises     [members]uint16 // told, by what was accepted and the incarnation: 4 x 3
-	accepts      [members]uint8  // told, by the incarnation
+	based    bool
+	base     uint8           // what its value was built on, where it is based
+	acked    bool            // somebody took its value for chosen
+	promises [members]uint16 // told, by what was accepted and the incarnation: 4 x 3
+	accepts  [members]uint8  // told, by the incarnation
 }
 
 type world struct {
--- a/internal/harbour/harbour.go
+++ b/internal/harbour/harbour.go
@@ -55,7 +55,8 @@
 	Counts  Counts
 	ended   chan struct{}
 	running sync.WaitGroup
-	round   chan struct{} // holds one while a round runs: one round at a time from here: two would only stand in each other's way
+	round   chan struct{} // holds one while a round runs: two from here would only stand in each other's way
+	mending atomic.Bool   // a round that settles what is pending runs, or waits to
 }
 
 // books are the tables.
@@ -248,10 +249,23 @@
 		b.pending[place] = now
 	case now.Sub(b.pending[place]) > pendingTime:
 		b.pending[place] = time.Time{}
-		go b.h.propose(nil) // a round that changes nothing settles what is pending
+		b.h.mend()
 	}
 }
 
+// mend runs a round that changes nothing, which settles what is pending, and reports whether it began one: while one waits for
+// its turn there is no need of another.
+func (h *Harbour) mend() bool {
+	if !h.mending.CompareAndSwap(false, true) {
+		return false
+	}
+	go func() {
+		defer h.mending.Store(false)
+		h.propose(nil)
+	}()
+	return true
+}
+
 func (b *books) raise(x manifest.Ballot) {
 	if b.highest.Less(x) {
 		b.highest = x
@@ -377,7 +391,7 @@
 
 func (b *books) hasNews(p *puller) bool {
 	return p.m.Life != b.h.o.Life || p.m.At != b.berths.At() || p.m.Have.Less(b.chosen) ||
-		p.m.Epoch != b.h.council.Roll().Epoch || p.m.Count < len(b.masters)
+		p.m.Epoch < b.h.council.Roll().Epoch || p.m.Count < len(b.masters)
 }
 
 func (b *books) news(m codebook.PullCall) codebook.News {
@@ -390,7 +404,7 @@
 	if m.Have.Less(b.chosen) {
 		n.Items = ballot.Since(b.stands, m.Have)
 	}
-	if r := b.h.council.Roll(); r.Epoch != m.Epoch {
+	if r := b.h.council.Roll(); r.Epoch > m.Epoch {
 		n.Roll = &r
 	}
 	if m.Count < len(b.masters) {
@@ -534,11 +548,10 @@
 // propose runs rounds until the items are chosen, or stand already, or can't be.
 func (h *Harbour) propose(items []manifest.Item) error {
 	end := time.Now().Add(changeTime)
-	h.round <- struct{}{}
-	defer func() { <-h.round }()
-	if time.Until(end) < phaseTime/4 { // others' rounds took the time: the caller comes again
-		return plight.New(plight.Preempted, "")
+	if !h.turn(end) {
+		return plight.New(plight.Preempted, "by other calls here")
 	}
+	defer func() { <-h.round }()
 	for {
 		err := h.tryRound(items, end)
 		if k := plight.Of(err); k != plight.Preempted && k != plight.CoreOut {
@@ -555,6 +568,19 @@
 	}
 }
 
+// turn waits for the turn to run rounds, until end, and reports whether it came. A caller that waits longer has gone.
+func (h *Harbour) turn(end time.Time) bool {
+	t := time.NewTimer(time.Until(end))
+	defer t.Stop()
+	select {
+	case h.round <- struct{}{}:
+		return true
+	case <-t.C:
+	case <-h.ended:
+	}
+	return false
+}
+
 // tryRound runs one round.
 func (h *Harbour) tryRound(items []manifest.Item, end time.Time) error {
 	h.Counts.Rounds.Add(1)
--- a/internal/purser/purser.go
+++ b/internal/purser/purser.go
@@ -570,7 +570,7 @@
 }
 
 func (b *books) news(w *watcher) bool {
-	return w.w.Have.Less(b.acc.Chosen) || w.w.Epoch != b.roll.Epoch && b.roll.Epoch > 0
+	return w.w.Have.Less(b.acc.Chosen) || w.w.Epoch < b.roll.Epoch
 }
 
 func (b *books) answer(w *watcher) {
