Signal: a frame takes room as it comes; frames, clients and owners under test

Ten bytes that promise a frame of 16 MiB took 16 MiB at once, before any of it came: on a machine of 64 MiB four stray connections were enough to end the process. Room is made as the message comes, doubled from 64 KiB.

--- a/internal/signal/signal.go
+++ b/internal/signal/signal.go
@@ -144,9 +144,26 @@
 	if n < 6 || n > MaxFrame {
 		return frame{}, fmt.Errorf("a frame of %d bytes", n)
 	}
-	f := frame{id: binary.BigEndian.Uint32(head[4:]), kind: head[8], err: plight.Kind(head[9]), body: make([]byte, n-6)}
-	_, err := io.ReadFull(in, f.body)
-	return f, err
+	f := frame{id: binary.BigEndian.Uint32(head[4:]), kind: head[8], err: plight.Kind(head[9]), body: []byte{}}
+	for left := int(n) - 6; left > 0; { // room is made for what comes, not for what was promised
+		was := len(f.body)
+		f.body = append(f.body, make([]byte, min(left, max(firstBytes, was)))...)
+		if _, err := io.ReadFull(in, f.body[was:]); err != nil {
+			return frame{}, unexpected(err)
+		}
+		left -= len(f.body) - was
+	}
+	return f, nil
+}
+
+// firstBytes is how much room a frame gets before any of its message has come.
+const firstBytes = 64 << 10
+
+func unexpected(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
 }
 
 // Call is one call at the side that answers.
--- /dev/null
+++ b/internal/signal/signal_test.go
@@ -0,0 +1,185 @@
+package signal
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"saltmast/internal/plight"
+)
+
+func framed(id uint32, kind uint8, p plight.Kind, body []byte) []byte {
+	b := binary.BigEndian.AppendUint32(nil, uint32(6+len(body)))
+	b = binary.BigEndian.AppendUint32(b, id)
+	return append(append(b, kind, byte(p)), body...)
+}
+
+// A frame is read whole or not at all, wherever it is cut; one that promises much takes no room before it comes.
+func TestFrames(t *testing.T) {
+	for _, size := range []int{0, 1, 100, 3 * firstBytes / 2} {
+		body := bytes.Repeat([]byte("x"), size)
+		raw := framed(7, 3, plight.Gone, body)
+		step := max(1, len(raw)/997)
+		for cut := 0; cut < len(raw); cut += step {
+			if f, err := readFrame(bufio.NewReader(bytes.NewReader(raw[:cut]))); err == nil || len(f.body) > 0 || cut > headBytes && err != io.ErrUnexpectedEOF {
+				t.Fatalf("cut at %d of %d: %d bytes, %v", cut, len(raw), len(f.body), err)
+			}
+		}
+		f, err := readFrame(bufio.NewReader(bytes.NewReader(append(raw, 1, 2, 3))))
+		if err != nil || f.id != 7 || f.kind != 3 || f.err != plight.Gone || !bytes.Equal(f.body, body) {
+			t.Errorf("%d bytes: %+v, %v", size, f.id, err)
+		}
+	}
+	for _, n := range []uint32{0, 5, MaxFrame + 1, 1<<32 - 1} {
+		raw := framed(1, 1, 0, nil)
+		binary.BigEndian.PutUint32(raw, n)
+		if _, err := readFrame(bufio.NewReader(bytes.NewReader(raw))); err == nil {
+			t.Errorf("a length of %d was taken", n)
+		}
+	}
+	raw := framed(1, 1, 0, []byte("y"))
+	binary.BigEndian.PutUint32(raw, MaxFrame)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	readFrame(bufio.NewReader(bytes.NewReader(raw)))
+	if runtime.ReadMemStats(&after); after.TotalAlloc-before.TotalAlloc > 1<<20 {
+		t.Errorf("%d bytes for a frame of which one came", after.TotalAlloc-before.TotalAlloc)
+	}
+}
+
+func listen(t *testing.T, addr string) net.Listener {
+	t.Helper()
+	l, err := Listen(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// Calls under way fail when their connection ends, each once, and the next call makes another connection.
+func TestClientOverTwoConnections(t *testing.T) {
+	l := listen(t, "127.0.0.1:0")
+	addr := l.Addr().String()
+	held := make(chan Call, 8)
+	serve := func(l net.Listener) *Server {
+		return Serve(l, func(c Call) {
+			if c.Kind == 2 {
+				held <- c // never answered
+				return
+			}
+			c.Reply(string(c.Body), nil)
+		})
+	}
+	s := serve(l)
+	c := NewClient(addr)
+	defer c.Close()
+	var got string
+	if err := c.Call(1, "one", &got, time.Minute); err != nil || !strings.HasSuffix(got, "one") {
+		t.Fatalf("%q, %v", got, err)
+	}
+	const n = 5
+	done := make(chan error, n+1)
+	for range n {
+		c.Go(2, nil, func(_ []byte, err error) { done <- err })
+	}
+	for range n {
+		<-held
+	}
+	s.Close()
+	for range n {
+		if err := <-done; plight.Of(err) != plight.Broken {
+			t.Errorf("%v for a call whose connection ended", err)
+		}
+	}
+	s = serve(listen(t, addr))
+	defer s.Close()
+	for end := time.Now().Add(20 * time.Second); ; {
+		err := c.Call(1, "two", &got, time.Minute)
+		if err == nil {
+			break
+		}
+		if k := plight.Of(err); k != plight.Broken && k != plight.Away || time.Now().After(end) {
+			t.Fatal(err)
+		}
+	}
+	if !strings.HasSuffix(got, "two") || len(done) > 0 {
+		t.Errorf("%q, %d told again", got, len(done))
+	}
+	c.Close()
+	if err := c.Call(1, "three", &got, time.Minute); plight.Of(err) != plight.Away {
+		t.Errorf("%v for a call of a client that is closed", err)
+	}
+}
+
+// A peer that reads nothing costs no more than the queue's bound: its connection ends, and nobody waits for it meanwhile.
+func TestPeerThatDoesNotRead(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	l := newLink(near)
+	body := make([]byte, 1<<20)
+	for range maxQueued>>20 + 4 {
+		l.send(1, 1, plight.OK, body)
+	}
+	far.SetReadDeadline(time.Now().Add(20 * time.Second))
+	if _, err := io.Copy(io.Discard, far); errors.Is(err, io.ErrShortWrite) {
+		t.Error(err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.ended || len(l.out) > maxQueued {
+		t.Errorf("ended %v with %d bytes", l.ended, len(l.out))
+	}
+}
+
+// An owner works in order, and those who ask one that has ended are told so.
+func TestOwner(t *testing.T) {
+	o := Own(&[]int{}, 4)
+	for i := range 100 {
+		o.Send(func(s *[]int) { *s = append(*s, i) })
+	}
+	n := 0
+	if !o.Ask(func(s *[]int) {
+		for i, x := range *s {
+			if i == x {
+				n++
+			}
+		}
+	}) || n != 100 {
+		t.Errorf("%d of 100 in order", n)
+	}
+	o.End()
+	o.End()
+	if o.Ask(func(*[]int) {}) {
+		t.Error("done after the end")
+	}
+}
+
+func FuzzFrame(f *testing.F) {
+	f.Add(framed(1, 2, 3, Encode(map[string]int{"a": 1})))
+	f.Add([]byte{0, 0, 0, 7, 0, 0, 0, 1, 1, 0, 0xff})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		in := bufio.NewReader(bytes.NewReader(raw))
+		for at := 0; ; {
+			fr, err := readFrame(in)
+			if err != nil {
+				return
+			}
+			again := framed(fr.id, fr.kind, fr.err, fr.body)
+			if !bytes.HasPrefix(raw[at:], again) {
+				t.Fatalf("read %x at %d of %x", again, at, raw)
+			}
+			at += len(again)
+			var v any
+			if err := Decode(fr.body, &v); err != nil && plight.Of(err) != plight.Malformed {
+				t.Fatalf("%v", err)
+			}
+		}
+	})
+}
