Book of operations: keys tried again and answers that are over take no room for good

A key that was begun, void and begun again stood at the head of the list of ages as new each time, and kept all behind it beyond their window. And the list of answers kept was cut only when their bytes were beyond the bound: with small answers it grew by one entry an operation for the life of the process.

Both lists name operations, not keys; what is over is dropped from their heads.

--- a/internal/tally/book.go
+++ b/internal/tally/book.go
@@ -29,11 +29,16 @@
 	Window time.Duration
 	Bytes  int // of answers at the most
 	ops    map[string]*Op[A]
-	order  []string // in which they began; may name some twice
-	kept   []string // with answers, in the order in which they were done
+	order  []opening // in which they began; may name some that are over
+	kept   []opening // with answers, in the order in which they were done; may name some that are over
 	held   int
 }
 
+type opening struct {
+	key string
+	id  ID
+}
+
 // NewBook returns an empty one.
 func NewBook[A any](window time.Duration, bytes int) *Book[A] {
 	return &Book[A]{Window: window, Bytes: bytes, ops: map[string]*Op[A]{}}
@@ -46,7 +51,7 @@
 		return *o, false
 	}
 	b.ops[key] = &Op[A]{ID: id, at: now}
-	b.order = append(b.order, key)
+	b.order = append(b.order, opening{key, id})
 	return Op[A]{}, true
 }
 
@@ -62,9 +67,9 @@
 	}
 	o.Answer, o.size = answer, size
 	b.held += size
-	b.kept = append(b.kept, key)
+	b.kept = append(b.kept, opening{key, id})
 	for b.held > b.Bytes && len(b.kept) > 0 {
-		if old := b.ops[b.kept[0]]; old != nil && old.State == Done {
+		if old := b.first(); old != nil {
 			var none A
 			old.State, old.Answer = Unknown, none
 			b.held -= old.size
@@ -74,6 +79,14 @@
 	}
 }
 
+// first is the oldest of those kept; nil: it is over.
+func (b *Book[A]) first() *Op[A] {
+	if o := b.ops[b.kept[0].key]; o != nil && o.ID == b.kept[0].id && o.State == Done {
+		return o
+	}
+	return nil
+}
+
 // Look is what is known of a key.
 func (b *Book[A]) Look(key string) (Op[A], bool) {
 	o := b.ops[key]
@@ -97,20 +110,24 @@
 func (b *Book[A]) expire(now time.Duration) {
 	n := 0
 	for ; n < len(b.order); n++ {
-		o := b.ops[b.order[n]]
-		if o == nil {
+		e := b.order[n]
+		o := b.ops[e.key]
+		if o == nil || o.ID != e.id {
 			continue
 		}
 		if now-o.at <= b.Window {
 			break
 		}
 		if o.State == AtWork {
-			b.order = append(b.order, b.order[n]) // looked at again later
+			b.order = append(b.order, e) // looked at again later
 			o.at = now
 			continue
 		}
 		b.held -= o.size
-		delete(b.ops, b.order[n])
+		delete(b.ops, e.key)
 	}
 	b.order = b.order[n:]
+	for len(b.kept) > 0 && b.first() == nil {
+		b.kept = b.kept[1:]
+	}
 }
