--- a/check.sh
+++ b/check.sh
@@ -20,6 +20,8 @@
 go test -run='^$' -fuzz=FuzzDecode -fuzztime=20000x ./internal/maintenance
 go test -run='^$' -fuzz=FuzzDecode -fuzztime=20000x ./internal/shared
 go test -run='^$' -fuzz=FuzzReceive -fuzztime=20000x ./internal/roster
+go test -run='^$' -fuzz=FuzzFrame -fuzztime=20000x ./internal/signal
+go test -run='^$' -fuzz=FuzzHop -fuzztime=20000x ./internal/gangway
 # Rehearsals watch their own lateness and play again what the machine was too busy for, and whole agents take a standstill of
 # the machine for one of their backends: they get it to themselves.
 go test -count=1 -race $(go list ./internal/... ./cmd/... | grep -v -e /rehearsal$ -e /latchkit$ -e /agent$)
--- /dev/null
+++ b/internal/pilot/pilot_test.go
@@ -0,0 +1,81 @@
+package pilot
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"saltmast/internal/berths"
+	"saltmast/internal/plight"
+)
+
+const beat = `{"address":"10.0.0.9:80","node-info":{"service":"s","version":"v1","zone":"z","capacity":6},"status":{"state":"serving","call-count":4,"warmup-left-s":0.5}}`
+
+// Method and path to a function, and what it says to an answer of one line.
+func TestDispatch(t *testing.T) {
+	called := ""
+	all := &Port{
+		Beat:      func(b Beat) error { called = "beat " + b.ID; return nil },
+		Leave:     func(id string) error { called = "leave " + id; return plight.New(plight.Gone, "") },
+		Change:    func(b []byte) error { called = "change " + string(b); return plight.New(plight.Conflict, "") },
+		Configure: func() ([]byte, error) { called = "configure"; return []byte(`{"a":1}`), nil },
+		Ready:     func() error { called = "ready"; return plight.New(plight.NotReady, "") },
+	}
+	for _, c := range []struct {
+		port               *Port
+		method, path, body string
+		status             int
+		called             string
+	}{
+		{all, "PUT", "/v1/instances/i-1", beat, 200, "beat i-1"},
+		{all, "PUT", "/v1/instances/i-1", "{", 400, ""},
+		{all, "PUT", "/v1/instances/i-1", strings.Repeat(" ", MaxBeat+1), 413, ""},
+		{all, "DELETE", "/v1/instances/i-1", "", 404, "leave i-1"},
+		{all, "PATCH", "/v1/configuration", "{}", 409, "change {}"},
+		{all, "GET", "/v1/configuration", "", 200, "configure"},
+		{all, "GET", "/v1/readiness", "", 503, "ready"},
+		{all, "POST", "/v1/readiness", "", 404, ""},
+		{all, "GET", "/v1/instances/i-1", "", 404, ""},
+		{all, "PUT", "/v1/instances", beat, 404, ""},
+		{all, "PUT", "/v1/instances/i/j", beat, 404, ""},
+		{all, "GET", "/v2/readiness", "", 404, ""},
+		{all, "GET", "/", "", 404, ""},
+		{&Port{}, "GET", "/v1/readiness", "", 404, ""},
+		{&Port{}, "PATCH", "/v1/configuration", "{}", 404, ""},
+	} {
+		called = ""
+		w := httptest.NewRecorder()
+		c.port.ServeHTTP(w, httptest.NewRequest(c.method, c.path, strings.NewReader(c.body)))
+		again := w.Header().Get("Retry-After") != ""
+		if w.Code != c.status || called != c.called || again != (c.status == 503) || strings.Contains(w.Body.String(), "\n") {
+			t.Errorf("%s %s: %d %q, called %q", c.method, c.path, w.Code, w.Body, called)
+		}
+	}
+}
+
+// A beat is read whole, or refused with one line that names what is wrong.
+func TestReadBeat(t *testing.T) {
+	got, err := ReadBeat("i-1", []byte(beat))
+	want := Beat{ID: "i-1", Addr: "10.0.0.9:80", Service: "s", Release: "v1", Zone: "z", Capacity: 6, State: berths.Serving, Count: 4, Warm: time.Second / 2}
+	if err != nil || got != want {
+		t.Errorf("%+v, %v", got, err)
+	}
+	for _, c := range []struct{ old, new, says string }{
+		{`"serving"`, `"sinking"`, "status.state"},
+		{`"serving"`, `"` + strings.Repeat("x", 900) + `"`, "status.state"},
+		{`"state":"serving",`, ``, "status.state"},
+		{`"s"`, `""`, "node-info.service"},
+		{`6`, `-1`, "node-info.capacity"},
+		{`6`, `1.5`, "capacity"},
+		{`0.5`, `-0.5`, "warmup-left-s"},
+		{`0.5`, `1e300`, "warmup-left-s"},
+		{`4`, `-4`, "call-count"},
+		{`}}`, `}`, "beat"},
+	} {
+		_, err := ReadBeat("i-1", []byte(strings.Replace(beat, c.old, c.new, 1)))
+		if plight.Of(err) != plight.Unreadable || !strings.Contains(err.Error(), c.says) || strings.Contains(err.Error(), "\n") || len(err.Error()) > 200 {
+			t.Errorf("%s for %s: %v", c.new, c.old, err)
+		}
+	}
+}
