--- a/internal/drydock/day.go
+++ b/internal/drydock/day.go
@@ -19,6 +19,8 @@
 	Rate   float64 // requests a second at each of the 4 machines; 0: rate
 	Work   float64 // how many times as long backends take; 0: once
 	Keys   float64 // part of the requests that carry a key, beside those that draw their route
+	Large  float64 // part of the bodies that go on as they come
+	Rude   float64 // part of the tries that end in the middle of their body
 	Events func(w *World, op *operator)
 }
 
@@ -43,7 +45,7 @@
 			t.Errorf("the first configuration was not taken")
 		}
 		w.until(clientsFrom)
-		w.keys, w.work = d.Keys, max(d.Work, 1)
+		w.keys, w.work, w.large, w.rude = d.Keys, max(d.Work, 1), d.Large, d.Rude
 		much := d.Rate
 		if much == 0 {
 			much = rate
--- a/internal/drydock/days.go
+++ b/internal/drydock/days.go
@@ -32,6 +32,9 @@
 	{Name: "lost-answers", Floor: 0.65, Length: 11 * time.Second, Faults: Faults{Lose: 0.05, Cut: 0.05, Late: 0.05, Full: 0.05, Fail: 0.03}},
 	{Name: "failing", Floor: 0.2, Length: 13 * time.Second, Faults: Faults{Fail: 0.5, Lose: 0.1, Full: 0.1}},
 	{Name: "keys", Floor: 0.7, Length: 11 * time.Second, Keys: 0.6, Faults: Faults{Lose: 0.01}, Events: sideKill},
+	{Name: "large", Floor: 0.6, Length: 8 * time.Second, Large: 0.3, Rude: 0.1, Faults: Faults{Lose: 0.02, Cut: 0.05, Late: 0.05, Full: 0.1}, Events: sideKill},
+	{Name: "wipe-kill", Floor: 0.8, Length: 13 * time.Second, Keys: 0.4, Events: wipeKill},
+	{Name: "disk", Floor: 0.6, Length: 12 * time.Second, Keys: 0.3, Events: disk},
 	{Name: "crowded", Floor: 0.2, Length: 8 * time.Second, Rate: 80, Work: 8},
 	{Name: "storm", Floor: 0.35, Length: 18 * time.Second, Keys: 0.3, Faults: Faults{Lose: 0.01, Cut: 0.01, Late: 0.01, Full: 0.02, Fail: 0.01}, Events: storm},
 	{Name: "links", Floor: 0.9, Length: 14 * time.Second, Keys: 0.3, Events: links},
@@ -346,9 +349,15 @@
 		case what < 3 && !coreBusy:
 			coreBusy = true
 			c, rest := w.core[r.IntN(3)], 5*time.Second // it counts as lost for a while after it is back
-			kind := r.IntN(6)
+			kind, ill := r.IntN(7), int32(1+r.IntN(3))
 			begin(func() done {
 				switch kind {
+				case 6:
+					over := w.trouble("disk", c.name, true)
+					c.ill.Store(ill)
+					time.Sleep(took)
+					c.ill.Store(diskWell)
+					over()
 				case 5:
 					over := w.trouble("slow", c.name, true)
 					w.sea.Slow(c.m, 300*time.Millisecond)
@@ -583,3 +592,52 @@
 	w.sea.Slow(m, 0)
 	over()
 }
+
+// wipeKill takes a core machine's disk while a change is under way, and kills all of the core while that is made up for.
+func wipeKill(w *World, op *operator) {
+	w.middle(op.r)
+	r := op.r
+	c := w.core[r.IntN(3)]
+	over := w.trouble("wipe, kill", c.name, true)
+	done := make(chan struct{})
+	change := &surveyor.Call{Items: []surveyor.Item{with(routes[0], func(r *route) { r.services = []string{"ledger"} }).item(7)}}
+	at := r.IntN(3)
+	go func() { op.send(change, at, 8*time.Second); close(done) }()
+	w.pause(time.Duration(r.IntN(3000)) * time.Microsecond)
+	c.kill()
+	w.must(c.wipe())
+	w.pause(time.Duration(r.IntN(600)) * time.Millisecond)
+	w.must(c.start())
+	w.pause(time.Duration(249_000+r.IntN(15_000)) * time.Microsecond) // it is about to make up for it
+	var overs []func()
+	for _, x := range w.core {
+		overs = append(overs, w.trouble("kill", x.name, true))
+		x.kill()
+	}
+	for i, x := range w.core {
+		w.pause(time.Duration(r.IntN(200)) * time.Millisecond)
+		w.must(x.start())
+		overs[i]()
+	}
+	over()
+	<-done
+}
+
+// disk has a core machine's disk be slow, hang or refuse, and kills what runs there at the end of it, or not.
+func disk(w *World, op *operator) {
+	w.middle(op.r)
+	r := op.r
+	c := w.core[r.IntN(3)]
+	over := w.trouble("disk", c.name, true)
+	c.ill.Store(int32(1 + r.IntN(3)))
+	op.send(&surveyor.Call{Items: []surveyor.Item{with(routes[0], func(r *route) { r.services = []string{"ledger"} }).item(7)}}, c.n, 6*time.Second)
+	w.pause(time.Duration(300+r.IntN(3000)) * time.Millisecond)
+	if r.IntN(2) == 0 {
+		c.kill()
+		w.must(c.start())
+	}
+	c.ill.Store(diskWell)
+	over()
+	w.pause(300 * time.Millisecond)
+	op.send(&surveyor.Call{Items: []surveyor.Item{with(routes[0], func(r *route) { r.services = []string{"pump"} }).item(9)}}, c.n, 6*time.Second)
+}
--- a/internal/drydock/people.go
+++ b/internal/drydock/people.go
@@ -125,7 +125,7 @@
 	if o.to.kind == "mutating" || o.to.kind == "deduplicated" || o.r.IntN(3) == 0 {
 		o.req.method = "POST"
 		size := 20 + o.r.IntN(2000)
-		if o.r.IntN(40) == 0 {
+		if o.r.Float64() < 0.025+o.m.w.large {
 			size = 100_000
 		}
 		o.req.body = make([]byte, size)
@@ -183,6 +183,8 @@
 			return nil
 		}
 		switch {
+		case t.Rude:
+			return t
 		case t.Status/100 == 2 && t.Complete, t.Status == 400 || t.Status == 401 || t.Status == 404 || t.Status == 413 || t.Status == 431:
 			return t
 		case o.to.kind == "mutating" && !(t.Complete && (t.Status == 429 || t.Status == 503 || t.Status == 408 || t.Status == 421)):
@@ -258,6 +260,14 @@
 		c = &conn{Conn: nc, in: newReader(nc)}
 	}
 	c.SetDeadline(w.begun.Add(end))
+	if len(req.body) > 0 && o.r.Float64() < w.rude {
+		b := req.bytes()
+		c.Write(b[:len(b)-1-o.r.IntN(len(req.body))])
+		w.pause(time.Duration(o.r.IntN(40)) * time.Millisecond)
+		c.Close()
+		t.GaveUp, t.Rude = true, true
+		return nil
+	}
 	if _, err := c.Write(req.bytes()); err != nil {
 		t.GaveUp = isLate(err)
 		if c.used && !t.GaveUp { // the agent had closed it before
--- a/internal/drydock/surveyor/judge.go
+++ b/internal/drydock/surveyor/judge.go
@@ -206,6 +206,8 @@
 			j.breaks("UNASKED", r.At, "no client sent this", r.line())
 		case t.Method != r.Method || t.Path != r.Path || t.Body != r.Body || t.Host != r.Host || t.Key != r.Key:
 			j.breaks("UNASKED", r.At, "changed on its way", t.line(), r.line(), fmt.Sprintf("sent %s %s %s, ran %s %s %s", t.Host, t.Method, t.Body, r.Host, r.Method, r.Body))
+		case t.Rude:
+			j.breaks("UNASKED", r.At, "its body never came whole", t.line(), r.line())
 		case t.Caller != r.Caller:
 			j.breaks("UNASKED", r.At, fmt.Sprintf("caller %q, but %q", r.Caller, t.Caller), t.line(), r.line())
 		}
@@ -550,7 +552,7 @@
 func (j *judge) served() {
 	n, good, denied := 0, 0, []*Try{}
 	for _, t := range j.Tries {
-		if t.Direct || t.Status == 409 { // the key is at work
+		if t.Direct || t.Rude || t.Status == 409 { // the key is at work
 			continue
 		}
 		n++
--- a/internal/drydock/surveyor/log.go
+++ b/internal/drydock/surveyor/log.go
@@ -31,6 +31,7 @@
 	AnswerTo         string        // the id that the answer names
 	Extra            string        // what came on the connection and answers nothing
 	GaveUp           bool          // the client did not wait any longer
+	Rude             bool          // the client broke off in the middle of its body
 	Direct           bool          // it only looks which configuration is in force
 }
 
--- a/internal/drydock/world.go
+++ b/internal/drydock/world.go
@@ -12,6 +12,8 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -44,6 +46,8 @@
 	log   *surveyor.Log
 	keys  float64
 	work  float64
+	large float64
+	rude  float64
 	flaw  Flaw
 	fault Faults
 
@@ -89,7 +93,10 @@
 	p, h *sea.Process
 	pr   purser.Running
 	hr   harbour.Running
-	runs bool          // the purser
+	runs bool         // the purser
+	ill  atomic.Int32 // its disk: well, slow, hangs, refuses
+	lag  *rand.Rand   // of its disk
+	lagM sync.Mutex
 	gone chan struct{} // closed once the last life's disk is let go
 }
 
@@ -130,6 +137,7 @@
 		c.m = w.sea.Machine(fmt.Sprintf("10.%d.0.2", i+1), zones[i])
 		c.gone = make(chan struct{})
 		close(c.gone)
+		c.lag = w.rand("disk " + c.name)
 		w.core = append(w.core, c)
 	}
 	services := []string{"pump", "ledger"}
@@ -194,7 +202,7 @@
 	var err error
 	if !c.runs {
 		c.p, c.runs = c.m.Start(), true
-		if c.pr, err = purser.Launch(s, c.w.note(c.name+" purser"), c.p); err != nil {
+		if c.pr, err = purser.Launch(s, c.w.note(c.name+" purser"), c.p, c.disk(c.p)); err != nil {
 			return err
 		}
 	}
@@ -205,6 +213,36 @@
 	return err
 }
 
+// What ails a disk.
+const (
+	diskWell = iota
+	diskSlow
+	diskHangs
+	diskRefuses
+)
+
+// disk takes a disk's time for each commit of one process. What was not synced when that ended is lost.
+func (c *coreMachine) disk(of *sea.Process) func() error {
+	return func() error {
+		c.lagM.Lock()
+		d := 300*time.Microsecond + time.Duration(c.lag.ExpFloat64()*float64(time.Millisecond))
+		c.lagM.Unlock()
+		time.Sleep(d)
+		for c.ill.Load() == diskHangs && !of.Ended() {
+			time.Sleep(5 * time.Millisecond)
+		}
+		switch {
+		case of.Ended():
+			return net.ErrClosed
+		case c.ill.Load() == diskRefuses:
+			return syscall.EIO
+		case c.ill.Load() == diskSlow:
+			time.Sleep(60 * time.Millisecond)
+		}
+		return nil
+	}
+}
+
 // kill ends its processes at once; the disk stays.
 func (c *coreMachine) kill() {
 	c.killPurser()
--- a/internal/purser/program.go
+++ b/internal/purser/program.go
@@ -17,7 +17,7 @@
 // Program is the store as a program.
 var Program = launch.Program{Name: "purser", About: "The store of the mesh: keeps what must not be lost.",
 	Start: func(s *articles.Settings, log func(event, text string)) (launch.Running, error) {
-		return Launch(s, log, nil)
+		return Launch(s, log, nil, nil)
 	}}
 
 // Running is a purser that was started by settings.
@@ -26,15 +26,15 @@
 	s *atomic.Pointer[articles.Settings]
 }
 
-// Launch starts by settings. on: nil for the system's network.
-func Launch(s *articles.Settings, log func(event, text string), on sock.Net) (Running, error) {
+// Launch starts by settings. on: nil for the system's network. disk: that of Options.
+func Launch(s *articles.Settings, log func(event, text string), on sock.Net, disk func() error) (Running, error) {
 	r := Running{s: &atomic.Pointer[articles.Settings]{}}
 	r.s.Store(s)
 	if s.DataDir == "" || s.Port(codebook.GatePort) == "" {
 		return r, fmt.Errorf("%s: data-directory and %d ephemeral-ports wanted", s.Path, codebook.GatePort+1)
 	}
 	o := Options{Addr: s.Port(codebook.PurserPort), Dir: s.DataDir, Zone: s.Zone, Bootstrap: s.Bootstrap,
-		Window: s.Bounds.DedupWindow + keyMargin, MaxBytes: int64(s.DiskMB * (1 << 20) / 2), Net: on, Log: log,
+		Window: s.Bounds.DedupWindow + keyMargin, MaxBytes: int64(s.DiskMB * (1 << 20) / 2), Net: on, Disk: disk, Log: log,
 		Seeds: func() (out []string) {
 			s := r.s.Load()
 			for _, x := range s.Seeds {
--- a/internal/purser/purser.go
+++ b/internal/purser/purser.go
@@ -54,6 +54,7 @@
 	Window    time.Duration    // keys are kept for so long at least
 	MaxBytes  int64            // on disk
 	Net       sock.Net         // nil: the system's
+	Disk      func() error     // of hold.Options
 	Log       func(event, text string)
 }
 
@@ -206,7 +207,7 @@
 
 // open opens the disk and reads all that is there.
 func (b *books) open() {
-	disk, found, err := b.p.begin(hold.Options{Dir: b.p.o.Dir, MaxBytes: b.p.o.MaxBytes,
+	disk, found, err := b.p.begin(hold.Options{Dir: b.p.o.Dir, MaxBytes: b.p.o.MaxBytes, Disk: b.p.o.Disk,
 		Log: func(s string) { b.p.o.Log("disk", s) }})
 	if err != nil {
 		if text := err.Error(); text != b.trouble {
--- a/internal/signal/signal_test.go
+++ b/internal/signal/signal_test.go
@@ -78,7 +78,7 @@
 		})
 	}
 	s := serve(l)
-	c := NewClient(addr)
+	c := NewClient(nil, addr)
 	defer c.Close()
 	var got string
 	if err := c.Call(1, "one", &got, time.Minute); err != nil || !strings.HasSuffix(got, "one") {
