--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -83,6 +83,8 @@
 		fmt.Println(a.Check.File + ": good")
 		return 0
 	}
+	stop := make(chan os.Signal, 4)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP) // from the first moment on: unheard, they end the process
 	path := articles.Path()
 	watch := articles.NewWatch(path)
 	s, err := articles.Load(path)
@@ -95,8 +97,6 @@
 	}
 	l := &log.Logger{Level: log.InfoLevel, TimeFormat: log.TimeFormatUnixMs, Writer: log.IOWriter{Writer: os.Stderr}}
 	say := func(event, text string) { l.Info().Str("event", event).Msg(text) }
-	stop := make(chan os.Signal, 4)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	r, err := p.Start(s, say)
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", p.Name, err)
