internal/shakedown: a mesh of real processes on loopback, its clients and its stop

Need: the three programs were tried together by nothing that runs with the tests. Change: a library that builds the programs, starts three core machines and a sidecar machine for each backend on addresses and ports probed free, and stands around them as backends, clients, operator and platform. TestClients is one table of hard requests and answers, each with the backend beside the proxy and over a hop; TestStop ends a tug under traffic. Programs look for races of their own where the tests do, and a race or panic that one tells of fails the test. check.sh runs it by itself.

--- a/check.sh
+++ b/check.sh
@@ -23,9 +23,9 @@
 go test -run='^$' -fuzz=FuzzFrame -fuzztime=20000x ./internal/signal
 go test -run='^$' -fuzz=FuzzHop -fuzztime=20000x ./internal/gangway
 # Rehearsals watch their own lateness and play again what the machine was too busy for, and whole agents take a standstill of
-# the machine for one of their backends: they get it to themselves.
-go test -count=1 -race $(go list ./internal/... ./cmd/... | grep -v -e /rehearsal$ -e /latchkit$ -e /agent$)
-go test -count=1 -race -p 1 ./internal/agent ./internal/rehearsal ./cmd/latchkit
+# the machine for one of their backends, and a mesh of real processes waits for its disks: they get it to themselves.
+go test -count=1 -race $(go list ./internal/... ./cmd/... | grep -v -e /rehearsal$ -e /latchkit$ -e /agent$ -e /shakedown$)
+go test -count=1 -race -p 1 ./internal/agent ./internal/rehearsal ./internal/shakedown ./cmd/latchkit
 
 build=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/balancer.toml)
 [ -n "$build" ] || { echo "deploy/balancer.toml: no build command" >&2; exit 1; }
--- /dev/null
+++ b/internal/shakedown/norace.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package shakedown
+
+const race = false
--- /dev/null
+++ b/internal/shakedown/proc_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package shakedown
+
+import "syscall"
+
+func procAttr() *syscall.SysProcAttr { return nil }
