gangway: a body in chunks that goes over the limit is answered with 413

Cause: such a body is noticed when part of it has gone on already; the connection of its client was then closed without an answer, and so was one with malformed chunks. Change: both are answered, with 413 and 400, and the connection ends.

--- a/internal/gangway/front.go
+++ b/internal/gangway/front.go
@@ -135,6 +135,14 @@
 		return c.after(ok, last, whole)
 	}
 	if rest != nil && !whole && errors.Is(v.err, errClient) {
+		switch {
+		case errors.Is(v.err, http1.ErrTooLarge):
+			g.Counts.Bad.Add(1)
+			c.turnAway(plight.BodyTooLong.Answer().Status, plight.BodyTooLong.String())
+		case errors.Is(v.err, http1.ErrBody):
+			g.Counts.Bad.Add(1)
+			c.turnAway(plight.Unreadable.Answer().Status, plight.Unreadable.String())
+		}
 		return false
 	}
 	ok := c.own(k, v, last)
--- a/internal/shakedown/client_test.go
+++ b/internal/shakedown/client_test.go
@@ -117,6 +117,9 @@
 			return head(path, strings.Repeat("X-Line: l\r\n", 1<<10)+"Content-Length: 0\r\n")
 		})},
 		{"a long body", refused(413, func(path string) string { return head(path, fmt.Sprintf("Content-Length: %d\r\n", 32<<20+1)) + "begin" })},
+		{"a long body in chunks", refused(413, func(path string) string {
+			return head(path, "Transfer-Encoding: chunked\r\n") + strings.Repeat("100000\r\n"+strings.Repeat("b", 1<<20)+"\r\n", 33) + "0\r\n\r\n"
+		})},
 		{"no time", refused(503, func(path string) string {
 			return strings.Replace(head(path, "Content-Length: 0\r\n"), gangway.HeaderLeft+": 5000", gangway.HeaderLeft+": 0", 1)
 		})},
