--- a/internal/shakedown/client_test.go
+++ b/internal/shakedown/client_test.go
@@ -129,6 +129,14 @@
 		{"chunks", whole(3000, true)},
 		{"long chunks", whole(300000, true)},
 		{"a body at the limit", whole(32<<20, false)},
+		{"a long keyed body", func(t *testing.T, service string) {
+			body := bytes.Repeat([]byte("k"), 200000)
+			r := Request{Method: "POST", Path: "/keyed/" + service + "/long", Key: "long-" + service, Body: body}
+			one, two := m.served(t, x, r), m.served(t, m.Sides[1], r)
+			if one.Body != two.Body || !strings.Contains(one.Body, " 200000 ") {
+				t.Errorf("%v, then %v", one, two)
+			}
+		}},
 		{"pipelined", func(t *testing.T, service string) {
 			c, err := Dial(x.Outbound())
 			if err != nil {
