--- a/internal/gangway/keyed.go
+++ b/internal/gangway/keyed.go
@@ -115,6 +115,14 @@
 		case tally.Split:
 			g.Counts.Split.Add(1)
 			v.free(v.claim)
+			// Whoever is told may have had a majority with a member that is silent now: it knows.
+			switch o := v.recall(holder.At, holder); {
+			case o.Plight == plight.KeyAtWork:
+			case o.State == tally.Void && o.Plight != plight.OK:
+				v.free(holder)
+			default:
+				return plight.KeyAtWork, holder
+			}
 			if try+1 >= claimTries || time.Now().After(end) {
 				return plight.KeySplit, holder
 			}
