--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -46,7 +46,7 @@
 type Options struct {
 	Dir      string       // of the files; made when missing
 	MaxBytes int64        // of the file hold.db; rounded up to 256 KiB; 64 MiB if zero. The log beside it takes up to 3 MiB more, 9 MiB while hold.db can't be written
-	Disk     func() error // stands in for a disk's time and refusals: called ahead of each commit, an error fails it; may be nil
+	Disk     func() error // stands in for a disk's time and refusals: called ahead of each commit, an error fails it; nothing is synced then; may be nil
 	Log      func(string) // hears of damage, and of a disk that fails and is well again; called from the hold's goroutine, must not block; may be nil
 }
 
--- a/internal/hold/hold_test.go
+++ b/internal/hold/hold_test.go
@@ -494,7 +494,7 @@
 		f.t.Fatal(err)
 	}
 	dir := read(f.t, f.dir).write(f.t)
-	shadow, err := connect(filepath.Join(dir, fileName), 9999)
+	shadow, err := connect(filepath.Join(dir, fileName), 9999, "FULL")
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -710,7 +710,7 @@
 	}
 	// Of a later version, whole.
 	dir = t.TempDir()
-	l, err := connect(filepath.Join(dir, fileName), 99)
+	l, err := connect(filepath.Join(dir, fileName), 99, "FULL")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/hold/lite.go
+++ b/internal/hold/lite.go
@@ -70,9 +70,9 @@
 var background = context.Background()
 
 // connect opens the file, or makes an empty one. Nothing of the schema is looked at.
-func connect(path string, maxPages int64) (*lite, error) {
+func connect(path string, maxPages int64, sync string) (*lite, error) {
 	// EXCLUSIVE before the first access to the log keeps its index on the heap: no -shm file, nothing mapped.
-	u := url.URL{Scheme: "file", Path: path, RawQuery: "_busy_timeout=0&_mutex=no&_locking_mode=EXCLUSIVE&_synchronous=FULL"}
+	u := url.URL{Scheme: "file", Path: path, RawQuery: "_busy_timeout=0&_mutex=no&_locking_mode=EXCLUSIVE&_synchronous=" + sync}
 	conn, err := (&sqlite3.SQLiteDriver{}).Open(u.String())
 	if err != nil {
 		return nil, err
--- a/internal/hold/open.go
+++ b/internal/hold/open.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, start, wrap(err)
 	}
-	if err := syncDir(o.Dir); err != nil { // before anything is told to be written, its files must have their names for certain
+	if err := o.settle(o.Dir); err != nil { // before anything is told to be written, its files must have their names for certain
 		l.close()
 		return nil, start, wrap(err)
 	}
@@ -73,7 +73,7 @@
 			err = &damageError{e.Error()}
 		}
 	}()
-	if l, err = connect(path, max((o.MaxBytes+chunkPages*pageSize-1)/(chunkPages*pageSize), 1)*chunkPages); err != nil {
+	if l, err = connect(path, max((o.MaxBytes+chunkPages*pageSize-1)/(chunkPages*pageSize), 1)*chunkPages, o.syncs()); err != nil {
 		return l, start, err
 	}
 	version, err := l.ask("PRAGMA user_version")
@@ -197,6 +197,22 @@
 	return syncDir(filepath.Dir(dir))
 }
 
+// syncs is SQLite's word for how surely a commit is on the disk.
+func (o Options) syncs() string {
+	if o.Disk != nil {
+		return "OFF"
+	}
+	return "FULL"
+}
+
+// settle is syncDir for a disk that is one.
+func (o Options) settle(dir string) error {
+	if o.Disk != nil {
+		return nil
+	}
+	return syncDir(dir)
+}
+
 func syncDir(dir string) error {
 	d, err := os.Open(dir)
 	if err != nil {
