Sock, sea: a network has datagrams

Net listens for datagrams as well; the network in memory carries them with its latencies, and loses what finds a path cut, a reader away or a full place.

--- a/internal/drydock/sea/sea.go
+++ b/internal/drydock/sea/sea.go
@@ -44,6 +44,7 @@
 	off       bool
 	frozen    bool
 	listeners map[string]*listener // by host:port
+	packets   map[int]*packets     // by port
 }
 
 // Process is what runs on a machine: it implements sock.Net, and all its sockets end with it.
@@ -52,6 +53,7 @@
 	ended bool
 	conns map[*Conn]bool
 	ls    map[*listener]bool
+	ps    map[*packets]bool
 }
 
 const (
@@ -69,7 +71,7 @@
 func (s *Sea) Machine(ip, zone string) *Machine {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	m := &Machine{s: s, IP: ip, Zone: zone, listeners: map[string]*listener{}}
+	m := &Machine{s: s, IP: ip, Zone: zone, listeners: map[string]*listener{}, packets: map[int]*packets{}}
 	s.machines[ip] = m
 	return m
 }
@@ -222,6 +224,9 @@
 	for _, l := range m.listeners {
 		l.poke()
 	}
+	for _, p := range m.packets {
+		p.poke()
+	}
 	s.changed()
 }
 
@@ -234,6 +239,9 @@
 	for _, l := range m.listeners {
 		l.end()
 	}
+	for _, p := range m.packets {
+		p.end()
+	}
 	s.hold()
 	for c := range s.conns {
 		if c.p.m == m {
@@ -254,7 +262,7 @@
 
 // Start begins a process.
 func (m *Machine) Start() *Process {
-	return &Process{m: m, conns: map[*Conn]bool{}, ls: map[*listener]bool{}}
+	return &Process{m: m, conns: map[*Conn]bool{}, ls: map[*listener]bool{}, ps: map[*packets]bool{}}
 }
 
 // Ended reports whether it has ended.
@@ -276,6 +284,9 @@
 	for l := range p.ls {
 		l.end()
 	}
+	for x := range p.ps {
+		x.end()
+	}
 	for c := range p.conns {
 		c.close()
 	}
--- a/internal/sock/net.go
+++ b/internal/sock/net.go
@@ -15,6 +15,7 @@
 type Net interface {
 	Listen(addr string, quiet time.Duration) (net.Listener, error)
 	Dial(ctx context.Context, addr string, quiet time.Duration) (net.Conn, error)
+	ListenPacket(addr string) (net.PacketConn, error) // for datagrams
 }
 
 // System is the system's own network.
@@ -46,6 +47,10 @@
 	return d.DialContext(ctx, "tcp4", addr)
 }
 
+func (system) ListenPacket(addr string) (net.PacketConn, error) {
+	return net.ListenPacket("udp4", addr)
+}
+
 func control(quiet time.Duration) func(network, address string, c syscall.RawConn) error {
 	return func(_, _ string, c syscall.RawConn) error {
 		return c.Control(func(fd uintptr) { setOptions(fd, quiet) }) // a system without them does without
