--- a/internal/berths/berths.go
+++ b/internal/berths/berths.go
@@ -3,8 +3,10 @@
 package berths
 
 import (
+	"cmp"
 	"maps"
 	"slices"
+	"time"
 )
 
 // State of a backend.
@@ -35,14 +37,20 @@
 }
 
 // newer reports whether b comes after o, of the same node. Two lives may tell the same version: the higher life wins until
-// the living one hears of it and tells a higher version.
+// the living one hears of it and tells a higher version. What was dropped is told again by a whole entry of that version.
 func (b Berth) newer(o Berth) bool {
 	if b.Version != o.Version {
 		return b.Version > o.Version
 	}
-	return b.Life > o.Life
+	if b.Life != o.Life {
+		return b.Life > o.Life
+	}
+	return o.dropped() && !b.dropped()
 }
 
+// dropped says whether all of it but the version is forgotten: a proxy always tells the address of its gate.
+func (b Berth) dropped() bool { return b.Addr == "" }
+
 // Table holds the newest entry of each node, and since which change of its own.
 type Table struct {
 	rows map[string]*row
@@ -51,9 +59,13 @@
 
 type row struct {
 	Berth
-	at uint64
+	at   uint64
+	lost time.Duration // since when nothing tells that the proxy lives; 0: it does
 }
 
+// keepDropped is of how many nodes that were dropped the versions are kept.
+const keepDropped = 256
+
 // New returns an empty table.
 func New() *Table { return &Table{rows: map[string]*row{}} }
 
@@ -64,10 +76,49 @@
 		return false
 	}
 	t.at++
-	t.rows[b.Node] = &row{b, t.at}
+	t.rows[b.Node] = &row{Berth: b, at: t.at}
 	return true
 }
 
+// Sweep drops the entries of nodes that were not alive at any sweep for as long as keep, and returns those nodes. now is
+// above 0. Of a dropped one the version and the life stay, which a proxy that starts anew there is told and raises its own over:
+// tables that dropped it and tables that did not yet would else order its news in different ways. Those are bounded as well.
+func (t *Table) Sweep(now, keep time.Duration, alive func(b Berth) bool) (gone []string) {
+	var dropped []*row
+	for _, r := range t.rows {
+		switch {
+		case r.dropped():
+			dropped = append(dropped, r)
+		case alive(r.Berth):
+			r.lost = 0
+		case r.lost == 0:
+			r.lost = now
+		case now-r.lost >= keep:
+			gone = append(gone, r.Node)
+			r.Berth = Berth{Node: r.Node, Version: r.Version, Life: r.Life}
+			dropped = append(dropped, r)
+		}
+	}
+	if n := len(dropped) - keepDropped; n > 0 {
+		slices.SortFunc(dropped, func(a, b *row) int { return cmp.Compare(a.at, b.at) })
+		for _, r := range dropped[:n] {
+			delete(t.rows, r.Node)
+		}
+	}
+	slices.Sort(gone)
+	return gone
+}
+
+// Lacks says whether the entry of one of these nodes was dropped: one that lives is to be asked for again.
+func (t *Table) Lacks(nodes map[string]bool) bool {
+	for node := range nodes {
+		if r := t.rows[node]; r != nil && r.dropped() {
+			return true
+		}
+	}
+	return false
+}
+
 // Get is the entry of a node.
 func (t *Table) Get(node string) (Berth, bool) {
 	r := t.rows[node]
@@ -91,5 +142,15 @@
 	return out
 }
 
-// Len is how many nodes have an entry.
-func (t *Table) Len() int { return len(t.rows) }
+// All are the entries that were not dropped, in the order of nodes.
+func (t *Table) All() []Berth { return slices.DeleteFunc(t.Since(0), Berth.dropped) }
+
+// Len is how many nodes have an entry that was not dropped.
+func (t *Table) Len() (n int) {
+	for _, r := range t.rows {
+		if !r.dropped() {
+			n++
+		}
+	}
+	return n
+}
