The roster in the mesh: who does not answer is set aside, who is long gone is dropped

A proxy learned that another machine had frozen, lost power or was cut off only by attempts that hung there, each proxy by its own. Harbourmasters remembered each other for good, by a count. Tugs and harbourmasters are now members of one roster on UDP (internal/masthead). Helm sets aside whom it holds suspect or dead, unless traffic told otherwise within a second; idle-first picking stays, and where all are set aside all are tried. Hops and pulls that are answered stand for probes. Harbourmasters find each other by it and forget each other and berths after five minutes; lists of them are compared by a sum in place of a count.

--- a/internal/codebook/codebook.go
+++ b/internal/codebook/codebook.go
@@ -3,6 +3,7 @@
 package codebook
 
 import (
+	"hash/fnv"
 	"net"
 	"strconv"
 
@@ -18,6 +19,15 @@
 	HarbourPort = 0 // harbourmaster, calls by signal
 	PurserPort  = 1 // purser, calls by signal
 	GatePort    = 2 // tug, requests from other tugs
+
+	RosterPort    = 3 // harbourmaster, datagrams of the roster
+	RosterTugPort = 4 // tug, the same
+)
+
+// Roles of members of the roster. What they tell of themselves is the port, in 2 bytes, of the gate or of the calls by signal.
+const (
+	RoleHarbour uint8 = 1
+	RoleTug     uint8 = 2
 )
 
 // Beside is the address of a program's port on the machine of another address. first is the first of the free ports.
@@ -161,9 +171,22 @@
 	At     uint64          `cbor:"4,keyasint"`           // its last change that the caller has
 	Have   manifest.Ballot `cbor:"5,keyasint"`           // of the configuration
 	Epoch  uint64          `cbor:"6,keyasint"`           // of the roll
-	Count  int             `cbor:"7,keyasint"`           // harbourmasters that the caller knows
 	HoldMs uint32          `cbor:"8,keyasint"`
 	Others []berths.Berth  `cbor:"9,keyasint,omitempty"` // of tugs that reach no harbourmaster and told this one
+	Sum    uint64          `cbor:"10,keyasint"`          // of the list of harbourmasters that the answerer told last
+}
+
+// Sum tells one list of harbourmasters from another, whatever their order. It is never 0.
+func Sum(of []Master) (sum uint64) {
+	for _, m := range of {
+		h := fnv.New64a()
+		for _, s := range []string{m.Name, m.Addr, m.Zone} {
+			h.Write([]byte(s))
+			h.Write([]byte{0})
+		}
+		sum += h.Sum64()
+	}
+	return sum | 1
 }
 
 // Never is the FreshMs of a harbourmaster that has not heard a majority yet.
@@ -179,6 +202,7 @@
 	Roll    *Roll           `cbor:"6,keyasint,omitempty"`
 	Masters []Master        `cbor:"7,keyasint,omitempty"`
 	FreshMs uint32          `cbor:"8,keyasint"` // since it heard a majority of those that count
+	Sum     uint64          `cbor:"9,keyasint"` // of the list of harbourmasters that it knows, told where the caller has another
 }
 
 // LeaseCall asks a member for a duty, or gives it back.
--- a/internal/gangway/front.go
+++ b/internal/gangway/front.go
@@ -449,6 +449,9 @@
 		g.Counts.Attempts.Add(1)
 		o := v.attempt(c, a)
 		at := c
+		if !o.hop && c.addr != g.o.GateAddr {
+			g.o.Heard(c.addr)
+		}
 		g.helm.Send(func(h *Helm) { h.Over(g.now(), at, &o) })
 		v.err = o.err
 		if o.Sent {
--- a/internal/gangway/gangway.go
+++ b/internal/gangway/gangway.go
@@ -50,6 +50,7 @@
 
 	Net     sock.Net // nil: the system's
 	Council *council.Council
+	Heard   func(addr string)                 // another proxy answered; nil: nobody asks
 	News    func(call []byte) ([]byte, error) // answers a PullCall of another proxy; nil: none are
 	Report  func(call []byte) ([]byte, error) // answers a ReportCall; nil: none are
 	Log     func(event, text string)
@@ -86,6 +87,9 @@
 	h := NewHelm()
 	h.Node, h.Zone, h.Ratio, h.Allowance, h.Window = o.Node, o.Zone, o.Ratio, o.Allowance, o.Window
 	h.Rand = rand.New(rand.NewPCG(o.Life, 1))
+	if o.Heard == nil {
+		o.Heard = func(string) {}
+	}
 	g := &Gangway{o: o, Gate: newGate(o), helm: signal.Own(h, 256), hops: newHops(o.Net), conns: map[*client]bool{}}
 	g.book = signal.Own(tally.NewBook[*Answer](o.KeyWindow, o.AnswerBytes/2), 256)
 	return g
@@ -103,6 +107,16 @@
 	g.helm.Send(func(h *Helm) { h.Learn(g.now(), []berths.Berth{b}) })
 }
 
+// Silence takes the addresses of proxies that don't answer, as the roster says, without waiting. addrs is not changed after.
+func (g *Gangway) Silence(addrs map[string]bool) {
+	g.helm.Send(func(h *Helm) { h.Silence(addrs) })
+}
+
+// Drop forgets nodes that are gone for good.
+func (g *Gangway) Drop(nodes []string) {
+	g.helm.Ask(func(h *Helm) { h.Drop(nodes) })
+}
+
 // Configure has the requests to come taken by another chart.
 func (g *Gangway) Configure(c *manifest.Chart) { g.chart.Store(c) }
 
--- a/internal/gangway/helm.go
+++ b/internal/gangway/helm.go
@@ -25,7 +25,8 @@
 	rows    map[string]*row   // by node
 	of      map[string][]*row // by service
 	rations map[string]*ration.Ration
-	nodes   int // the most that were known
+	nodes   int             // the most that were known
+	silent  map[string]bool // addresses of proxies that the roster says don't answer
 	scratch []retry.Candidate
 	among   []*row
 }
@@ -54,6 +55,7 @@
 	warmAt   time.Duration
 	awayTill time.Duration
 	away     time.Duration // its last pause
+	silent   bool          // by the roster, and nothing came from there since
 	load     float64       // requests at it and before it, of its capacity, as its gate told last
 	loadAt   time.Duration
 }
@@ -66,6 +68,10 @@
 // Learn takes entries of the table of berths.
 func (h *Helm) Learn(now time.Duration, news []berths.Berth) {
 	for _, b := range news {
+		if b.Addr == "" { // of a node that is gone, the version is all that is left
+			delete(h.rows, b.Node)
+			continue
+		}
 		r := h.rows[b.Node]
 		if r == nil {
 			r = &row{}
@@ -77,19 +83,50 @@
 		r.Berth = b
 		r.warmAt = now + time.Duration(b.WarmMs)*time.Millisecond
 		r.awayTill, r.away = 0, 0
+		r.silent = h.silent[b.Addr]
 	}
 	h.nodes = max(h.nodes, len(h.rows))
+	h.sort()
+	for _, r := range h.rations {
+		r.Machines = h.nodes
+	}
+}
+
+// sort puts the backends that serve under their services.
+func (h *Helm) sort() {
 	clear(h.of)
 	for _, r := range h.rows {
 		if r.State == berths.Serving && r.Instance != "" {
 			h.of[r.Service] = append(h.of[r.Service], r)
 		}
 	}
-	for _, r := range h.rations {
-		r.Machines = h.nodes
+}
+
+// Silence takes the addresses of the proxies that the roster says don't answer: those are set aside, and tried where all are.
+// One that answers again is taken back at once.
+func (h *Helm) Silence(addrs map[string]bool) {
+	for _, r := range h.rows {
+		switch is, was := addrs[r.Addr], h.silent[r.Addr]; {
+		case is && !was:
+			r.silent = true
+		case was && !is:
+			r.silent, r.awayTill, r.away = false, 0, 0
+		}
 	}
+	h.silent = addrs
 }
 
+// Drop forgets nodes that are gone for good.
+func (h *Helm) Drop(nodes []string) {
+	for _, n := range nodes {
+		delete(h.rows, n)
+	}
+	h.sort()
+}
+
+// aside says whether a backend is left alone while there are others.
+func (r *row) aside(now time.Duration) bool { return r.silent || now < r.awayTill }
+
 // choice is where an attempt goes.
 type choice struct {
 	node, addr, instance, service string
@@ -139,7 +176,7 @@
 	h.scratch, h.among = h.scratch[:0], h.among[:0]
 	for pass := 0; pass < 2 && len(h.among) == 0; pass++ {
 		for _, r := range h.of[service] {
-			if pass == 0 && now < r.awayTill { // those that can't be reached come last
+			if pass == 0 && r.aside(now) { // those that can't be reached come last
 				continue
 			}
 			bias := 0.0
@@ -177,7 +214,7 @@
 	}
 	r.inFlight = max(0, r.inFlight-1)
 	if !o.hop {
-		r.awayTill, r.away = 0, 0
+		r.awayTill, r.away, r.silent = 0, 0, false
 		if r.Capacity > 0 && (o.Running > 0 || o.Waiting > 0 || o.Plight == plight.OK) {
 			r.load, r.loadAt = float64(o.Running+o.Waiting)/float64(r.Capacity), now
 		}
@@ -224,7 +261,7 @@
 func (h *Helm) Relays(now time.Duration, n int) (at []string) {
 	seen := 0
 	for _, r := range h.rows {
-		if r.Node == h.Node || now < r.awayTill {
+		if r.Node == h.Node || r.aside(now) {
 			continue
 		}
 		seen++
--- a/internal/harbour/harbour.go
+++ b/internal/harbour/harbour.go
@@ -6,10 +6,12 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,8 +22,10 @@
 	"saltmast/internal/council"
 	"saltmast/internal/duty"
 	"saltmast/internal/manifest"
+	"saltmast/internal/masthead"
 	"saltmast/internal/pilot"
 	"saltmast/internal/plight"
+	"saltmast/internal/roster"
 	"saltmast/internal/signal"
 	"saltmast/internal/sock"
 )
@@ -36,6 +40,7 @@
 	Control net.Listener    // outside calls
 	Calls   net.Listener    // calls by signal
 	Net     sock.Net        // nil: the system's
+	Head    *masthead.Masthead
 	Log     func(event, text string)
 }
 
@@ -70,7 +75,10 @@
 	pending []time.Time     // by place: since when it holds a value of which nobody knows whether it was chosen; zero: none
 	behind  []int           // by place: answers in a row that it was behind
 	masters map[string]codebook.Master
-	pulling map[string]bool
+	sum     uint64                   // of masters
+	lost    map[string]time.Time     // of masters: since when nothing tells that they live
+	pulling map[string]chan struct{} // closed to end it
+	anew    int                      // raised to have all others asked for all they have
 	pullers []*puller
 	begun   time.Time
 	lease   duty.Lease // of teaching
@@ -85,8 +93,9 @@
 // Start begins to serve.
 func Start(o Options) *Harbour {
 	h := &Harbour{o: o, council: council.New(o.Net), ended: make(chan struct{}), round: make(chan struct{}, 1)}
-	b := &books{h: h, berths: berths.New(), stands: manifest.Set{}, masters: map[string]codebook.Master{}, pulling: map[string]bool{}, begun: time.Now()}
-	b.masters[o.Self.Name] = o.Self
+	b := &books{h: h, berths: berths.New(), stands: manifest.Set{}, masters: map[string]codebook.Master{}, lost: map[string]time.Time{},
+		pulling: map[string]chan struct{}{}, begun: time.Now()}
+	b.enter(o.Self)
 	h.own = signal.Own(b, 1024)
 	h.port = &pilot.Port{Change: h.change, Configure: h.configure,
 		Refused: func(k plight.Kind, text string) { h.Counts.Refused.Add(1); o.Log("refused", text) }}
@@ -109,6 +118,8 @@
 	h.server.Close()
 	h.council.Close()
 	h.running.Wait()
+	h.o.Head.Leave()
+	h.o.Head.Close()
 	h.own.End()
 }
 
@@ -146,7 +157,7 @@
 // Status tells how it stands.
 func (h *Harbour) Status() (s Status) {
 	h.own.Ask(func(b *books) {
-		s = Status{Chosen: b.chosen, Items: len(b.stands), Berths: b.berths.Since(0), Roll: h.council.Roll(), FreshMs: b.fresh()}
+		s = Status{Chosen: b.chosen, Items: len(b.stands), Berths: b.berths.All(), Roll: h.council.Roll(), FreshMs: b.fresh()}
 		for _, m := range b.masters {
 			s.Masters = append(s.Masters, m)
 		}
@@ -368,6 +379,9 @@
 }
 
 func (b *books) pull(c signal.Call, m codebook.PullCall) {
+	if m.Self != nil {
+		b.h.o.Head.Heard(m.Self.Addr)
+	}
 	news := m.Self != nil && b.berths.Join(*m.Self)
 	for _, x := range m.Others {
 		news = b.berths.Join(x) || news
@@ -376,6 +390,7 @@
 		b.wake()
 	}
 	if m.Master != nil {
+		b.h.o.Head.Heard(m.Master.Addr)
 		b.meet(*m.Master)
 	}
 	p := &puller{c: c, m: m}
@@ -391,11 +406,11 @@
 
 func (b *books) hasNews(p *puller) bool {
 	return p.m.Life != b.h.o.Life || p.m.At != b.berths.At() || p.m.Have.Less(b.chosen) ||
-		p.m.Epoch < b.h.council.Roll().Epoch || p.m.Count < len(b.masters)
+		p.m.Epoch < b.h.council.Roll().Epoch || p.m.Sum != b.sum
 }
 
 func (b *books) news(m codebook.PullCall) codebook.News {
-	n := codebook.News{Life: b.h.o.Life, At: b.berths.At(), Chosen: b.chosen, FreshMs: b.fresh()}
+	n := codebook.News{Life: b.h.o.Life, At: b.berths.At(), Chosen: b.chosen, FreshMs: b.fresh(), Sum: b.sum}
 	at := m.At
 	if m.Life != n.Life {
 		at = 0
@@ -407,7 +422,7 @@
 	if r := b.h.council.Roll(); r.Epoch > m.Epoch {
 		n.Roll = &r
 	}
-	if m.Count < len(b.masters) {
+	if m.Sum != b.sum {
 		for _, x := range b.masters {
 			n.Masters = append(n.Masters, x)
 		}
@@ -442,62 +457,165 @@
 // maxMasters bounds those that are known.
 const maxMasters = 64
 
+// goneAfter is how long a machine is not heard of before what is known of it is dropped. The roster remembers the dead for
+// longer, and who it holds dead is not taken up again on the word of others meanwhile.
+const goneAfter = 5 * time.Minute
+
 // meet takes note of a harbourmaster and begins to pull from it.
 func (b *books) meet(m codebook.Master) {
 	if m.Addr == "" || m.Name == "" {
 		return
 	}
-	if old, ok := b.masters[m.Name]; (!ok || old != m) && len(b.masters) < maxMasters {
-		b.masters[m.Name] = m
-		b.wake()
+	if old, ok := b.masters[m.Name]; !ok && len(b.masters) < maxMasters || ok && old != m && m.Name != b.h.o.Self.Name {
+		b.enter(m)
 	}
 	b.follow(m.Addr)
 }
 
+// hearsay takes a harbourmaster that another one told of.
+func (b *books) hearsay(m codebook.Master) {
+	if s := b.h.o.Head.State(m.Addr); s != roster.Dead && s != roster.Left {
+		b.meet(m)
+	}
+}
+
+func (b *books) enter(m codebook.Master) {
+	b.masters[m.Name] = m
+	b.listed()
+}
+
+// listed has those who pull told of another list of harbourmasters.
+func (b *books) listed() {
+	b.sum = codebook.Sum(slices.Collect(maps.Values(b.masters)))
+	b.wake()
+}
+
 func (b *books) follow(addr string) {
-	if addr == b.h.o.Self.Addr || b.pulling[addr] || len(b.pulling) >= maxMasters {
+	if addr == b.h.o.Self.Addr || b.pulling[addr] != nil || len(b.pulling) >= maxMasters {
 		return
 	}
-	b.pulling[addr] = true
-	b.h.running.Go(func() { b.h.follow(addr) })
+	end := make(chan struct{})
+	b.pulling[addr] = end
+	b.h.running.Go(func() { b.h.follow(addr, end) })
 }
 
-// meet looks at the seeds from time to time: they may have changed.
+// sweepEvery is after how many looks what is long gone is dropped.
+const sweepEvery = 10
+
+// meet looks at the seeds and the roster from time to time: they may have changed.
 func (h *Harbour) meet() {
-	for {
+	begun := time.Now()
+	for look := 1; ; look++ {
+		var seeds []string
 		for _, s := range h.o.Seeds() {
-			a := codebook.Beside(s, h.o.First, codebook.HarbourPort)
-			h.own.Send(func(b *books) { b.follow(a) })
+			seeds = append(seeds, codebook.Beside(s, h.o.First, codebook.HarbourPort))
 		}
+		h.own.Send(func(b *books) {
+			for _, a := range seeds {
+				b.follow(a)
+			}
+			for _, p := range h.o.Head.Peers(codebook.RoleHarbour) {
+				if p.State == roster.Alive {
+					b.meet(codebook.Master{Name: p.Node, Addr: p.Addr, Zone: p.Zone})
+				}
+			}
+			if look%sweepEvery == 0 {
+				b.sweep(time.Now(), time.Since(begun), seeds)
+			}
+		})
 		if !h.pause(time.Second) {
 			return
 		}
 	}
 }
 
-// follow pulls the berths of another harbourmaster.
-func (h *Harbour) follow(addr string) {
+// sweep drops what is known of machines that are long gone, while this one hears a majority and others: one that is cut off
+// knows nothing of who is gone.
+func (b *books) sweep(now time.Time, since time.Duration, seeds []string) {
+	head := b.h.o.Head
+	alive := map[string]bool{}
+	for _, p := range head.Peers(codebook.RoleTug) {
+		if p.State == roster.Alive {
+			alive[p.Node] = true
+		}
+	}
+	if b.berths.Lacks(alive) {
+		b.anew++
+	}
+	if head.Alone() || b.fresh() > 3000 {
+		clear(b.lost)
+		return
+	}
+	if gone := b.berths.Sweep(since, goneAfter, func(x berths.Berth) bool { return head.Lives(x.Addr) }); len(gone) > 0 {
+		b.h.o.Log("gone", strings.Join(gone, " "))
+	}
+	listed := false
+	for name, m := range b.masters {
+		switch at, ok := b.lost[name]; {
+		case name == b.h.o.Self.Name || head.Lives(m.Addr):
+			delete(b.lost, name)
+		case !ok:
+			b.lost[name] = now
+		case now.Sub(at) >= goneAfter:
+			delete(b.lost, name)
+			delete(b.masters, name)
+			listed = true
+			b.h.o.Log("gone", name)
+		}
+	}
+	if listed {
+		b.listed()
+	}
+	wanted := map[string]bool{}
+	for _, m := range b.masters {
+		wanted[m.Addr] = true
+	}
+	for addr, end := range b.pulling {
+		if !wanted[addr] && !slices.Contains(seeds, addr) {
+			close(end)
+			delete(b.pulling, addr)
+		}
+	}
+}
+
+// follow pulls the berths of another harbourmaster, until end is closed.
+func (h *Harbour) follow(addr string, end chan struct{}) {
 	c := signal.NewClient(h.o.Net, addr)
 	defer c.Close()
-	call := codebook.PullCall{Master: &h.o.Self, HoldMs: uint32(pullHold.Milliseconds()), Epoch: 1 << 62}
+	call := codebook.PullCall{Master: &h.o.Self, HoldMs: uint32(pullHold.Milliseconds()), Have: manifest.Ballot{N: 1 << 62}}
+	anew := 0
 	for !h.over() {
-		h.own.Ask(func(b *books) { call.Count, call.Have = len(b.masters), manifest.Ballot{N: 1 << 62} })
+		select {
+		case <-end:
+			return
+		default:
+		}
+		h.own.Ask(func(b *books) {
+			if anew != b.anew {
+				anew, call.Life = b.anew, 0
+			}
+		})
 		call.Epoch = h.council.Roll().Epoch
 		var n codebook.News
 		if err := c.Call(codebook.Pull, call, &n, pullHold+callTime); err != nil {
-			if !h.pause(250 * time.Millisecond) {
+			wait := 250 * time.Millisecond
+			if s := h.o.Head.State(addr); s == roster.Dead || s == roster.Left {
+				wait = time.Second
+			}
+			if !h.pause(wait) {
 				return
 			}
 			continue
 		}
-		call.Life, call.At = n.Life, n.At
+		h.o.Head.Heard(addr)
+		call.Life, call.At, call.Sum = n.Life, n.At, n.Sum
 		h.own.Ask(func(b *books) {
 			changed := false
 			for _, x := range n.Berths {
 				changed = b.berths.Join(x) || changed
 			}
 			for _, m := range n.Masters {
-				b.meet(m)
+				b.hearsay(m)
 			}
 			if changed {
 				b.wake()
--- a/internal/harbour/harbour_test.go
+++ b/internal/harbour/harbour_test.go
@@ -15,7 +15,8 @@
 func ashore(t *testing.T) (*Harbour, *books) {
 	h := &Harbour{o: Options{Life: 1, Log: func(event, text string) { t.Log(event, text) }}, council: council.New(nil),
 		ended: make(chan struct{}), round: make(chan struct{}, 1)}
-	return h, &books{h: h, berths: berths.New(), stands: manifest.Set{}, masters: map[string]codebook.Master{}, pulling: map[string]bool{}}
+	return h, &books{h: h, berths: berths.New(), stands: manifest.Set{}, masters: map[string]codebook.Master{}, lost: map[string]time.Time{},
+		pulling: map[string]chan struct{}{}}
 }
 
 // A puller waits unless there is something that it lacks: one that knows more than is known here is not answered at once,
@@ -23,19 +24,19 @@
 func TestNews(t *testing.T) {
 	h, b := ashore(t)
 	wants := func(m codebook.PullCall) bool { m.Life = 1; return b.hasNews(&puller{m: m}) }
-	if wants(codebook.PullCall{Epoch: 1, Count: 3, Have: manifest.Ballot{N: 1}}) {
+	if wants(codebook.PullCall{Epoch: 1, Sum: b.sum, Have: manifest.Ballot{N: 1}}) {
 		t.Error("news for one who knows more")
 	}
 	h.council.Take(codebook.Roll{Epoch: 2})
 	b.berths.Join(berths.Berth{Node: "n", Version: 1})
 	b.whole(manifest.Ballot{N: 1}, manifest.Set{})
-	b.masters["m"] = codebook.Master{Name: "m"}
-	all := codebook.PullCall{At: 1, Epoch: 2, Count: 1, Have: manifest.Ballot{N: 1}}
+	b.enter(codebook.Master{Name: "m"})
+	all := codebook.PullCall{At: 1, Epoch: 2, Sum: b.news(codebook.PullCall{}).Sum, Have: manifest.Ballot{N: 1}}
 	for name, change := range map[string]func(*codebook.PullCall){
 		"":              func(*codebook.PullCall) {},
 		"a berth":       func(m *codebook.PullCall) { m.At = 0 },
 		"the roll":      func(m *codebook.PullCall) { m.Epoch = 1 },
-		"a master":      func(m *codebook.PullCall) { m.Count = 0 },
+		"a master":      func(m *codebook.PullCall) { m.Sum = 0 },
 		"configuration": func(m *codebook.PullCall) { m.Have = manifest.Ballot{} },
 	} {
 		m := all
--- a/internal/harbour/program.go
+++ b/internal/harbour/program.go
@@ -8,6 +8,7 @@
 	"saltmast/internal/articles"
 	"saltmast/internal/codebook"
 	"saltmast/internal/launch"
+	"saltmast/internal/masthead"
 	"saltmast/internal/signal"
 	"saltmast/internal/sock"
 )
@@ -20,8 +21,9 @@
 
 // Running is a harbourmaster that was started by settings.
 type Running struct {
-	H *Harbour
-	s *atomic.Pointer[articles.Settings]
+	H    *Harbour
+	head *masthead.Masthead
+	s    *atomic.Pointer[articles.Settings]
 }
 
 // Launch starts by settings. on: nil for the system's network.
@@ -39,14 +41,19 @@
 	if err != nil {
 		return r, err
 	}
-	r.H = Start(Options{Self: codebook.Master{Name: s.NodeName, Addr: s.Port(codebook.HarbourPort), Zone: s.Zone},
-		Purser: s.Port(codebook.PurserPort), First: s.Ports[0], Life: launch.Life(), Control: control, Calls: calls, Net: on, Log: log,
+	life := launch.Life()
+	r.head = masthead.Start(s, codebook.RoleHarbour, codebook.RosterPort, codebook.HarbourPort, life, on, log)
+	r.H = Start(Options{Head: r.head, Self: codebook.Master{Name: s.NodeName, Addr: s.Port(codebook.HarbourPort), Zone: s.Zone},
+		Purser: s.Port(codebook.PurserPort), First: s.Ports[0], Life: life, Control: control, Calls: calls, Net: on, Log: log,
 		Seeds: func() []string { return r.s.Load().Seeds }})
 	return r, nil
 }
 
 // Reload takes other settings: seeds alone may change while it runs.
-func (r Running) Reload(s *articles.Settings) { r.s.Store(s) }
+func (r Running) Reload(s *articles.Settings) {
+	r.s.Store(s)
+	r.head.Reload(s)
+}
 
 // Stop ends it.
 func (r Running) Stop(grace time.Duration) { r.H.Close(min(grace, 2*time.Second)) }
@@ -54,7 +61,9 @@
 // Counts are for the log.
 func (r Running) Counts() map[string]int64 {
 	c, s := &r.H.Counts, r.H.Status()
-	return map[string]int64{"pulls": c.Pulls.Load(), "news": c.News.Load(), "changes": c.Changes.Load(), "refused": c.Refused.Load(),
+	out := map[string]int64{"pulls": c.Pulls.Load(), "news": c.News.Load(), "changes": c.Changes.Load(), "refused": c.Refused.Load(),
 		"rounds": c.Rounds.Load(), "preempted": c.Preempted.Load(), "taught": c.Taught.Load(), "items": int64(s.Items),
 		"berths": int64(len(s.Berths)), "masters": int64(len(s.Masters)), "fresh_ms": int64(s.FreshMs), "chosen": int64(s.Chosen.N)}
+	r.head.Count(out)
+	return out
 }
--- a/internal/harbour/report.go
+++ b/internal/harbour/report.go
@@ -43,7 +43,7 @@
 				pullers = append(pullers, p.m.Master.Name)
 			}
 		}
-		items, all := codebook.ItemReports(b.stands), b.berths.Since(0)
+		items, all := codebook.ItemReports(b.stands), b.berths.All()
 		go func() {
 			slices.SortFunc(own.Masters, func(x, y codebook.Master) int { return cmp.Compare(x.Name, y.Name) })
 			own.SetPullers(pullers)
--- /dev/null
+++ b/internal/masthead/masthead_test.go
@@ -0,0 +1,111 @@
+package masthead
+
+import (
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"saltmast/internal/articles"
+	"saltmast/internal/codebook"
+	"saltmast/internal/drydock/sea"
+	"saltmast/internal/roster"
+)
+
+// TestWatch: three core machines and four others. One of these freezes, one is heard, one leaves.
+func TestWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := sea.New(1)
+		var mu sync.Mutex
+		var said []string
+		log := func(event, text string) {
+			mu.Lock()
+			defer mu.Unlock()
+			said = append(said, event+" "+text)
+		}
+		var machines []*sea.Machine
+		var heads []*Masthead
+		for i := range 7 {
+			m := s.Machine("10.0.0."+strconv.Itoa(i+1), "east")
+			p := m.Start()
+			set := &articles.Settings{NodeName: "n" + strconv.Itoa(i), IP: m.IP, Zone: "east", Ports: [2]int{7000, 7010},
+				Seeds: []string{"10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80"}}
+			role, place, port := codebook.RoleTug, codebook.RosterTugPort, codebook.GatePort
+			if i < 3 {
+				role, place, port = codebook.RoleHarbour, codebook.RosterPort, codebook.HarbourPort
+			}
+			machines = append(machines, m)
+			heads = append(heads, Start(set, role, place, port, uint64(i+1), p, log))
+		}
+		time.Sleep(5 * time.Second)
+		tug := func(i int) string { return net.JoinHostPort(machines[i].IP, "7002") }
+		first := heads[3]
+		if n, m := len(first.Peers(codebook.RoleTug)), len(first.Peers(codebook.RoleHarbour)); n != 3 || m != 3 || !first.Lives(tug(4)) {
+			t.Fatalf("%d and %d others are known", n, m)
+		}
+		if len(said) > 0 {
+			t.Errorf("nothing happened, and it is said: %q", said)
+		}
+
+		machines[5].Freeze(true)
+		time.Sleep(3 * time.Second)
+		for i, h := range heads {
+			if silent := h.Silent(codebook.RoleTug); i != 5 && (len(silent) != 1 || !silent[tug(5)]) {
+				t.Errorf("%d: silent are %v", i, silent)
+			}
+		}
+		first.Heard(tug(5))
+		if len(first.Silent(codebook.RoleTug)) > 0 {
+			t.Error("one that was heard just now is silent")
+		}
+		machines[5].Freeze(false)
+		time.Sleep(3 * time.Second)
+		for i, h := range heads {
+			if silent := h.Silent(codebook.RoleTug); i != 5 && len(silent) > 0 {
+				t.Errorf("%d: silent are still %v", i, silent)
+			}
+		}
+
+		before, after := map[string]int64{}, map[string]int64{}
+		first.Count(before)
+		for range 200 {
+			for i := range 7 {
+				first.Heard(tug(i))
+				first.Heard(net.JoinHostPort(machines[i].IP, "7000"))
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		first.Count(after)
+		if n := after["roster_probes"] - before["roster_probes"]; n > 5 {
+			t.Errorf("%d probes in 20 s in which traffic told all", n)
+		}
+		if n := after["roster_sent_bytes"] - before["roster_sent_bytes"]; n > 20*150 {
+			t.Errorf("%d bytes in 20 s", n)
+		}
+
+		heads[6].Leave()
+		heads[6].Close()
+		time.Sleep(time.Second)
+		if st := first.State(tug(6)); st != roster.Left {
+			t.Errorf("one that left is held %v", st)
+		}
+		for _, h := range heads {
+			h.Close()
+		}
+		for _, want := range []string{"suspect", "back", "left"} {
+			if !slices.ContainsFunc(said, func(s string) bool { return strings.HasPrefix(s, "member n") && strings.HasSuffix(s, want) }) {
+				t.Errorf("nobody says %s: %q", want, said)
+			}
+		}
+		var none *Masthead
+		none.Heard("x")
+		none.Close()
+		if !none.Alone() || !none.Lives("x") || none.State("x") != roster.Unknown || len(none.Silent(codebook.RoleTug)) > 0 {
+			t.Error("without a roster somebody is told apart")
+		}
+	})
+}
--- a/internal/tug/tug.go
+++ b/internal/tug/tug.go
@@ -4,10 +4,12 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,8 +21,10 @@
 	"saltmast/internal/gangway"
 	"saltmast/internal/launch"
 	"saltmast/internal/manifest"
+	"saltmast/internal/masthead"
 	"saltmast/internal/pilot"
 	"saltmast/internal/plight"
+	"saltmast/internal/roster"
 	"saltmast/internal/signal"
 	"saltmast/internal/sock"
 )
@@ -32,6 +36,7 @@
 	net     sock.Net
 	way     *gangway.Gangway
 	council *council.Council
+	head    *masthead.Masthead
 	life    uint64
 
 	mu      sync.Mutex
@@ -43,6 +48,7 @@
 	heard   time.Time      // a harbourmaster that had heard a majority
 	full    bool           // such a one has told all that there is
 	others  []berths.Berth // of proxies that reach no harbourmaster, to be told on
+	whole   bool           // the next pull asks for all: something was dropped that is back
 
 	fronts   []net.Listener
 	servers  []*http.Server
@@ -98,7 +104,8 @@
 	t.way = gangway.New(gangway.Options{Node: s.NodeName, Zone: s.Zone, Service: s.Service, App: s.AppAddr, GateAddr: gateAddr,
 		Life: t.life, Begun: time.Now(), Heartbeat: s.Heartbeat, Ratio: s.Bounds.RetryRatio, Allowance: s.Bounds.RetryAllowance,
 		Window: s.Bounds.RetryWindow, KeyWindow: s.Bounds.DedupWindow + keyMargin, AnswerBytes: answers, MaxConns: conns,
-		Net: on, Council: t.council, News: t.newsFor, Report: t.report, Log: log})
+		Net: on, Council: t.council, News: t.newsFor, Report: t.report, Log: log,
+		Heard: func(addr string) { t.head.Heard(addr) }})
 	t.way.Gate.OnChange(func(b berths.Berth) {
 		t.way.Hear(b)
 		t.tell()
@@ -120,6 +127,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("readiness: %w", err)
 	}
+	t.head = masthead.Start(s, codebook.RoleTug, codebook.RosterTugPort, codebook.GatePort, t.life, on, log)
 	t.http(control, &pilot.Port{Beat: t.way.Gate.Beat, Leave: t.way.Gate.Leave, Refused: t.refused})
 	t.http(ready, &pilot.Port{Ready: t.ready})
 	go t.way.ServeGate(gate)
@@ -168,21 +176,67 @@
 	}
 }
 
-// watch looks at what comes with time alone.
+const (
+	sweepEvery = 10 * time.Second
+	// goneAfter is how long a machine is not heard of before its entry is dropped. The roster remembers the dead for longer.
+	goneAfter = 5 * time.Minute
+)
+
+// watch looks at what comes with time alone, and at what the roster says.
 func (t *Tug) watch() {
 	tick := time.NewTicker(500 * time.Millisecond)
 	defer tick.Stop()
+	var changed chan struct{}
+	if t.head != nil {
+		changed = t.head.Changed
+	}
+	begun := time.Now()
+	swept := begun
+	silent := map[string]bool{}
 	for {
 		select {
 		case now := <-tick.C:
 			t.way.Gate.Watch(now)
+			if now.Sub(swept) >= sweepEvery {
+				swept = now
+				t.sweep(now.Sub(begun))
+			}
+		case <-changed:
 		case <-t.ended:
 			return
 		}
+		if now := t.head.Silent(codebook.RoleTug); !maps.Equal(now, silent) {
+			silent = now
+			t.way.Silence(now)
+		}
 	}
 }
 
-// candidates are the harbourmasters to pull from: of this zone first, then the others, then the seeds.
+// sweep drops the entries of machines that are long gone, while this one hears the core and others: one that is cut off knows
+// nothing of who is gone.
+func (t *Tug) sweep(now time.Duration) {
+	alive := map[string]bool{}
+	for _, p := range t.head.Peers(codebook.RoleTug) {
+		if p.State == roster.Alive {
+			alive[p.Node] = true
+		}
+	}
+	node := t.s.Load().NodeName
+	t.mu.Lock()
+	var gone []string
+	if !t.head.Alone() && time.Since(t.heard) < 2*staleMs*time.Millisecond {
+		gone = t.table.Sweep(now, goneAfter, func(b berths.Berth) bool { return b.Node == node || t.head.Lives(b.Addr) })
+	}
+	t.whole = t.whole || t.table.Lacks(alive)
+	t.mu.Unlock()
+	if len(gone) > 0 {
+		t.way.Drop(gone)
+		t.log("gone", strings.Join(gone, " "))
+	}
+}
+
+// candidates are the harbourmasters to pull from: of this zone first, then the others and the seeds; those that the roster says
+// don't answer come last.
 func (t *Tug) candidates() []string {
 	s := t.s.Load()
 	t.mu.Lock()
@@ -203,7 +257,18 @@
 	}
 	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
 	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-	return append(near, far...)
+	all := append(near, far...)
+	silent := t.head.Silent(codebook.RoleHarbour)
+	slices.SortStableFunc(all, func(a, b string) int {
+		switch {
+		case silent[a] == silent[b]:
+			return 0
+		case silent[b]:
+			return -1
+		}
+		return 1
+	})
+	return all
 }
 
 // pull keeps pulling, from one harbourmaster as long as it answers and has heard a majority, else from the next.
@@ -253,7 +318,10 @@
 	for !t.over() {
 		b := t.way.Gate.Berth()
 		t.mu.Lock()
-		call.Self, call.Have, call.Count, call.Epoch = &b, t.chosen, len(t.masters), t.council.Roll().Epoch
+		call.Self, call.Have, call.Epoch = &b, t.chosen, t.council.Roll().Epoch
+		if t.whole {
+			t.whole, call.Life = false, 0
+		}
 		call.Others = slices.Clone(t.others)
 		t.mu.Unlock()
 		done := make(chan result, 1)
@@ -271,7 +339,7 @@
 				t.mu.Lock()
 				others := slices.Clone(t.others)
 				t.mu.Unlock()
-				c.Go(codebook.Pull, signal.Encode(codebook.PullCall{Self: &b, Others: others, Life: call.Life, At: ^uint64(0), Have: call.Have, Count: 1 << 20, Epoch: call.Epoch}), func([]byte, error) {})
+				c.Go(codebook.Pull, signal.Encode(codebook.PullCall{Self: &b, Others: others, Life: call.Life, At: ^uint64(0), Have: call.Have, Sum: call.Sum, Epoch: call.Epoch}), func([]byte, error) {})
 			case <-timer.C:
 				c.Forget(id)
 				r.err = plight.New(plight.TimedOut, "")
@@ -288,7 +356,8 @@
 		t.pulls.Add(1)
 		t.from.Store(&pulled{addr, time.Now(), n.FreshMs})
 		good = true
-		call.Life, call.At = n.Life, n.At
+		t.head.Heard(addr)
+		call.Life, call.At, call.Sum = n.Life, n.At, n.Sum
 		t.mu.Lock()
 		t.others = t.others[min(len(call.Others), len(t.others)):]
 		t.mu.Unlock()
@@ -379,13 +448,7 @@
 	var chart *manifest.Chart
 	t.mu.Lock()
 	if len(n.Masters) > 0 {
-		for _, m := range n.Masters {
-			if i := slices.IndexFunc(t.masters, func(o codebook.Master) bool { return o.Name == m.Name }); i >= 0 {
-				t.masters[i] = m
-			} else {
-				t.masters = append(t.masters, m)
-			}
-		}
+		t.masters = n.Masters
 	}
 	node := t.s.Load().NodeName
 	for _, b := range n.Berths {
@@ -421,12 +484,19 @@
 }
 
 // Reload takes other settings: seeds alone may change while it runs.
-func (t *Tug) Reload(s *articles.Settings) { t.s.Store(s) }
+func (t *Tug) Reload(s *articles.Settings) {
+	t.s.Store(s)
+	t.head.Reload(s)
+}
 
 // Counts are for the log.
 func (t *Tug) Counts() map[string]int64 {
 	out := t.way.Report()
 	out["pulls"], out["pulls_by_other"] = t.pulls.Load(), t.byOther.Load()
+	t.mu.Lock()
+	out["berths"], out["masters"] = int64(t.table.Len()), int64(len(t.masters))
+	t.mu.Unlock()
+	t.head.Count(out)
 	return out
 }
 
@@ -442,6 +512,7 @@
 		l.Close()
 	}
 	t.way.Stop(grace - time.Since(begun))
+	t.head.Leave()
 	t.end()
 }
 
@@ -451,6 +522,7 @@
 		s.Close()
 	}
 	t.council.Close()
+	t.head.Close()
 	t.way.End()
 }
 
