Harbour: after a loss of all power, what stands is settled at once

Ruled out: the 404s (requests for routes that never were), backends, the roster. Change: while nothing chosen is known, watches are held 40 ms and a pending value is settled after up to 80 ms.

--- a/internal/harbour/harbour.go
+++ b/internal/harbour/harbour.go
@@ -169,6 +169,7 @@
 
 const (
 	watchHold = 500 * time.Millisecond
+	coldHold  = 40 * time.Millisecond // while nothing that was chosen is known: all members may have lost power right behind it
 	pullHold  = 1000 * time.Millisecond
 	callTime  = 600 * time.Millisecond // beyond what the peer may hold a call
 )
@@ -215,6 +216,9 @@
 		var call codebook.WatchCall
 		h.own.Ask(func(b *books) {
 			call = codebook.WatchCall{Have: b.chosen, HoldMs: uint32(watchHold.Milliseconds()), Epoch: roll.Epoch}
+			if b.chosen.IsZero() { // nothing can be told to anybody yet
+				call.HoldMs = uint32(coldHold.Milliseconds())
+			}
 		})
 		var w codebook.Watched
 		if err := c.Call(codebook.Watch, call, &w, watchHold+callTime); err != nil {
@@ -258,7 +262,7 @@
 		b.pending[place] = time.Time{}
 	case b.pending[place].IsZero():
 		b.pending[place] = now
-	case now.Sub(b.pending[place]) > pendingTime:
+	case now.Sub(b.pending[place]) > pendingTime, b.chosen.IsZero() && now.Sub(b.pending[place]) > rand.N(2*coldHold):
 		b.pending[place] = time.Time{}
 		b.h.mend()
 	}
