--- a/internal/drydock/day.go
+++ b/internal/drydock/day.go
@@ -1,6 +1,7 @@
 package drydock
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 	"testing"
@@ -16,11 +17,12 @@
 	Floor  float64 // part of requests to be served at least
 	Length time.Duration
 	Faults Faults
-	Rate   float64 // requests a second at each of the 4 machines; 0: rate
-	Work   float64 // how many times as long backends take; 0: once
-	Keys   float64 // part of the requests that carry a key, beside those that draw their route
-	Large  float64 // part of the bodies that go on as they come
-	Rude   float64 // part of the tries that end in the middle of their body
+	Rate   float64       // requests a second at each of the 4 machines; 0: rate
+	Work   float64       // how many times as long backends take; 0: once
+	Keys   float64       // part of the requests that carry a key, beside those that draw their route
+	Again  time.Duration // within which keys come again; 0: 1.5 s
+	Large  float64       // part of the bodies that go on as they come
+	Rude   float64       // part of the tries that end in the middle of their body
 	Events func(w *World, op *operator)
 }
 
@@ -45,7 +47,7 @@
 			t.Errorf("the first configuration was not taken")
 		}
 		w.until(clientsFrom)
-		w.keys, w.work, w.large, w.rude = d.Keys, max(d.Work, 1), d.Large, d.Rude
+		w.again, w.keys, w.work, w.large, w.rude = cmp.Or(d.Again, 1500*time.Millisecond), d.Keys, max(d.Work, 1), d.Large, d.Rude
 		much := d.Rate
 		if much == 0 {
 			much = rate
@@ -61,10 +63,8 @@
 		w.log.End = w.now()
 		w.end()
 		op.p.End()
-		time.Sleep(10 * time.Second) // what was killed comes to its end
-		w.noteMu.Lock()
 		l, notes = w.log, w.notes
-		w.noteMu.Unlock()
+		time.Sleep(10 * time.Second) // what was killed comes to its end
 	})
 	if l == nil {
 		return nil, nil, nil
--- a/internal/drydock/days.go
+++ b/internal/drydock/days.go
@@ -14,7 +14,7 @@
 	{Name: "changes", Floor: 0.99, Length: 13 * time.Second, Events: changes},
 	{Name: "two-at-once", Floor: 0.99, Length: 11 * time.Second, Events: twoAtOnce},
 	{Name: "core-kill", Floor: 0.97, Length: 11 * time.Second, Events: coreKill},
-	{Name: "core-all-kill", Floor: 0.9, Length: 12 * time.Second, Events: coreAllKill},
+	{Name: "core-all-kill", Floor: 0.65, Length: 12 * time.Second, Rate: 40, Keys: 0.7, Again: 2 * time.Second, Events: coreAllKill},
 	{Name: "core-wipe", Floor: 0.97, Length: 13 * time.Second, Events: coreWipe},
 	{Name: "core-cut", Floor: 0.97, Length: 13 * time.Second, Events: coreCut},
 	{Name: "core-freeze", Floor: 0.97, Length: 11 * time.Second, Events: coreFreeze},
@@ -34,8 +34,9 @@
 	{Name: "keys", Floor: 0.7, Length: 11 * time.Second, Keys: 0.6, Faults: Faults{Lose: 0.01}, Events: sideKill},
 	{Name: "large", Floor: 0.6, Length: 8 * time.Second, Large: 0.3, Rude: 0.1, Faults: Faults{Lose: 0.02, Cut: 0.05, Late: 0.05, Full: 0.1}, Events: sideKill},
 	{Name: "wipe-kill", Floor: 0.8, Length: 13 * time.Second, Keys: 0.4, Events: wipeKill},
+	{Name: "thin", Floor: 0.8, Length: 17 * time.Second, Keys: 0.5, Again: 9 * time.Second, Events: thin},
 	{Name: "disk", Floor: 0.6, Length: 12 * time.Second, Keys: 0.3, Events: disk},
-	{Name: "crowded", Floor: 0.2, Length: 8 * time.Second, Rate: 80, Work: 8},
+	{Name: "crowded", Floor: 0.12, Length: 8 * time.Second, Rate: 80, Work: 8},
 	{Name: "storm", Floor: 0.35, Length: 18 * time.Second, Keys: 0.3, Faults: Faults{Lose: 0.01, Cut: 0.01, Late: 0.01, Full: 0.02, Fail: 0.01}, Events: storm},
 	{Name: "links", Floor: 0.9, Length: 14 * time.Second, Keys: 0.3, Events: links},
 }
@@ -641,3 +642,26 @@
 	w.pause(300 * time.Millisecond)
 	op.send(&surveyor.Call{Items: []surveyor.Item{with(routes[0], func(r *route) { r.services = []string{"pump"} }).item(9)}}, c.n, 6*time.Second)
 }
+
+// thin has keys and a change known to two core machines alone, and then takes the disk of one of these, once the third has been
+// back for as long as it counts as lost.
+func thin(w *World, op *operator) {
+	w.until(3 * time.Second)
+	r := op.r
+	at := r.IntN(3)
+	out, lost := w.core[at], w.core[(at+1+r.IntN(2))%3]
+	over := w.trouble("cut", out.name, true)
+	w.sea.CutOff(out.m)
+	w.pause(500 * time.Millisecond)
+	op.send(&surveyor.Call{Items: []surveyor.Item{with(routes[0], func(r *route) { r.services = []string{"ledger"} }).item(7)}}, lost.n, 6*time.Second)
+	w.until(5 * time.Second)
+	w.sea.JoinAgain(out.m)
+	over()
+	w.pause(4100 * time.Millisecond)
+	over = w.trouble("wipe, kill", lost.name, true)
+	lost.kill()
+	w.must(lost.wipe())
+	w.pause(time.Duration(r.IntN(500)) * time.Millisecond)
+	w.must(lost.start())
+	over()
+}
--- a/internal/drydock/people.go
+++ b/internal/drydock/people.go
@@ -157,7 +157,7 @@
 		return
 	}
 	for range 1 + o.r.IntN(2) { // again with the same key, through any machine, after a good answer too
-		if !o.m.w.pause(time.Duration(o.r.IntN(1500)) * time.Millisecond) {
+		if !o.m.w.pause(time.Duration(o.r.Int64N(int64(o.m.w.again)))) {
 			return
 		}
 		m := o.m.w.tugs[o.r.IntN(len(o.m.w.tugs))]
--- a/internal/drydock/world.go
+++ b/internal/drydock/world.go
@@ -44,6 +44,7 @@
 	sea   *sea.Sea
 	begun time.Time
 	log   *surveyor.Log
+	again time.Duration // within which keys come again
 	keys  float64
 	work  float64
 	large float64
