--- a/internal/drydock/day.go
+++ b/internal/drydock/day.go
@@ -63,8 +63,11 @@
 		w.log.End = w.now()
 		w.end()
 		op.p.End()
-		l, notes = w.log, w.notes
+		l = w.log
 		time.Sleep(10 * time.Second) // what was killed comes to its end
+		w.noteMu.Lock()
+		notes = w.notes
+		w.noteMu.Unlock()
 	})
 	if l == nil {
 		return nil, nil, nil
