--- a/internal/drydock/days.go
+++ b/internal/drydock/days.go
@@ -23,6 +23,7 @@
 	{Name: "side-kill", Floor: 0.75, Length: 11 * time.Second, Events: sideKill},
 	{Name: "side-stop", Floor: 0.98, Length: 13 * time.Second, Events: sideStop},
 	{Name: "side-cut", Floor: 0.75, Length: 13 * time.Second, Events: sideCut},
+	{Name: "side-off-core", Floor: 0.96, Length: 13 * time.Second, Keys: 0.4, Events: sideOffCore},
 	{Name: "release", Floor: 0.98, Length: 13 * time.Second, Events: release},
 	{Name: "core-stop", Floor: 0.97, Length: 15 * time.Second, Events: coreStop},
 	{Name: "reuse", Floor: 0.97, Length: 15 * time.Second, Events: reuse},
@@ -310,6 +311,25 @@
 	over()
 }
 
+// sideOffCore cuts two of four proxies off from all that count, while they still reach their neighbours.
+func sideOffCore(w *World, op *operator) {
+	w.middle(op.r)
+	var over []func()
+	for _, t := range w.tugs[:2] {
+		over = append(over, w.trouble("cut", t.name, false))
+		for _, c := range w.core {
+			w.sea.Cut(t.m, c.m)
+		}
+	}
+	w.pause(time.Duration(3000+op.r.IntN(1500)) * time.Millisecond)
+	for i, t := range w.tugs[:2] {
+		for _, c := range w.core {
+			w.sea.Join(t.m, c.m)
+		}
+		over[i]()
+	}
+}
+
 // release has two backends leave in order, one after the other, and begin new lives.
 func release(w *World, op *operator) {
 	w.middle(op.r)
--- a/internal/gangway/gangway.go
+++ b/internal/gangway/gangway.go
@@ -64,7 +64,8 @@
 	book  *signal.Owner[tally.Book[*Answer]]
 	hops  *hops
 	claim atomic.Uint64
-	out   atomic.Int64 // since the start, until when no majority is expected to answer this proxy
+	relay atomic.Pointer[string] // a proxy that lately claimed for this one
+	out   atomic.Int64           // since the start, until when no majority is expected to answer this proxy
 	chart atomic.Pointer[manifest.Chart]
 
 	stopping atomic.Bool
--- a/internal/gangway/keyed.go
+++ b/internal/gangway/keyed.go
@@ -155,7 +155,7 @@
 		holder  tally.ID
 		direct  bool
 	}
-	ch := make(chan result, 2)
+	ch := make(chan result, 3)
 	go func() {
 		v, h := g.vote(key, id, wait)
 		ch <- result{v, h, true}
@@ -182,24 +182,31 @@
 				return r.verdict, r.holder
 			}
 		case <-t.C:
-			at := g.relays(1)
-			if len(at) == 0 {
-				continue
+			at := g.relays(2) // one of them may be cut off as well
+			if good := g.relay.Load(); good != nil {
+				at = []string{*good}
+			}
+			for _, addr := range at {
+				g.Counts.Relays.Add(1)
+				under++
+				go func() {
+					a := &ask{Kind: claimFor, Key: key, Claim: id, Left: uint32(wait.Milliseconds())}
+					o := g.hops.do(addr, a, nil, nil, time.Now().Add(wait))
+					r := result{verdict: o.Verdict}
+					if o.err != nil || o.Plight != plight.OK {
+						r.verdict = tally.Open
+					}
+					if o.Holder != nil {
+						r.holder = *o.Holder
+					}
+					if r.verdict == tally.Open {
+						g.relay.Store(nil)
+					} else {
+						g.relay.Store(&addr)
+					}
+					ch <- r
+				}()
 			}
-			g.Counts.Relays.Add(1)
-			under++
-			go func() {
-				a := &ask{Kind: claimFor, Key: key, Claim: id, Left: uint32(wait.Milliseconds())}
-				o := g.hops.do(at[0], a, nil, nil, time.Now().Add(wait))
-				r := result{verdict: o.Verdict}
-				if o.err != nil || o.Plight != plight.OK {
-					r.verdict = tally.Open
-				}
-				if o.Holder != nil {
-					r.holder = *o.Holder
-				}
-				ch <- r
-			}()
 		}
 	}
 	return tally.Open, tally.ID{}
