--- /dev/null
+++ b/internal/gangway/gate_test.go
@@ -0,0 +1,121 @@
+package gangway
+
+import (
+	"runtime"
+	"testing"
+	"time"
+
+	"saltmast/internal/berths"
+	"saltmast/internal/pilot"
+	"saltmast/internal/plight"
+	"saltmast/internal/tally"
+)
+
+func gateOf(t *testing.T) *Gate {
+	return newGate(Options{Node: "n", Service: "ledger", GateAddr: "a:1", Life: 7, Begun: time.Now(), Heartbeat: time.Second,
+		KeyWindow: time.Minute, AnswerBytes: 1 << 20, Log: func(event, text string) { t.Log(event, text) }})
+}
+
+// What a gate tells follows the newest beat of the newest life: a beat that comes late, of the same life or of one that ended,
+// changes nothing, and one that says again what stands makes no news.
+func TestBeats(t *testing.T) {
+	g := gateOf(t)
+	beat := func(id string, count uint64, s berths.State) {
+		if err := g.Beat(pilot.Beat{ID: id, Service: "ledger", Capacity: 2, Count: count, State: s}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	leave := func(id string) { g.Leave(id) }
+	for _, step := range []struct {
+		name  string
+		do    func()
+		id    string
+		state berths.State
+		news  bool
+	}{
+		{"first", func() { beat("i-1", 1, berths.Serving) }, "i-1", berths.Serving, true},
+		{"again", func() { beat("i-1", 2, berths.Serving) }, "i-1", berths.Serving, false},
+		{"drains", func() { beat("i-1", 4, berths.Draining) }, "i-1", berths.Draining, true},
+		{"a late beat", func() { beat("i-1", 3, berths.Serving) }, "i-1", berths.Draining, false},
+		{"a new life", func() { beat("i-2", 1, berths.Serving) }, "i-2", berths.Serving, true},
+		{"a late beat of the old one", func() { beat("i-1", 5, berths.Serving) }, "i-2", berths.Serving, false},
+		{"the old one's end", func() { leave("i-1") }, "i-2", berths.Serving, false},
+		{"its end", func() { leave("i-2") }, "i-2", berths.None, true},
+		{"a late beat behind its end", func() { beat("i-2", 9, berths.Serving) }, "i-2", berths.None, false},
+	} {
+		was := g.Berth().Version
+		step.do()
+		b := g.Berth()
+		if b.Instance != step.id || b.State != step.state || (b.Version != was) != step.news {
+			t.Errorf("%s: %s is %s, version %d to %d; want %s, %s, news %v", step.name, b.Instance, b.State, was, b.Version, step.id, step.state, step.news)
+		}
+	}
+}
+
+// A request gets a place only at the life that was meant, and while that serves; what waits is let in by rank, or turned away
+// when the backend leaves.
+func TestPlaces(t *testing.T) {
+	g := gateOf(t)
+	g.Beat(pilot.Beat{ID: "i-1", Service: "ledger", Capacity: 1, Count: 1, State: berths.Serving})
+	a := func(id string, rank int, hold uint32) *ask {
+		return &ask{Instance: id, Service: "ledger", Rank: rank, Hold: hold}
+	}
+	if k := g.enter(a("i-0", 0, 0)); k != plight.Elsewhere {
+		t.Errorf("another life: %v", k)
+	}
+	if k := g.enter(a("i-1", 0, 0)); k != plight.OK {
+		t.Fatalf("the first: %v", k)
+	}
+	if k := g.enter(a("i-1", 0, 0)); k != plight.Full {
+		t.Errorf("one that may not wait: %v", k)
+	}
+	got := make(chan plight.Kind, 1)
+	go func() { got <- g.enter(a("i-1", 1, 60_000)) }()
+	for _, waiting := g.load(); waiting == 0; _, waiting = g.load() {
+		runtime.Gosched()
+	}
+	g.exit()
+	if k := <-got; k != plight.OK {
+		t.Errorf("one that waited: %v", k)
+	}
+	go func() { got <- g.enter(a("i-1", 1, 60_000)) }()
+	for _, waiting := g.load(); waiting == 0; _, waiting = g.load() {
+		runtime.Gosched()
+	}
+	g.Leave("i-1")
+	if k := <-got; k != plight.Leaving {
+		t.Errorf("one that waited when the backend left: %v", k)
+	}
+	if k := g.enter(a("i-1", 0, 0)); k != plight.Leaving {
+		t.Errorf("behind its end: %v", k)
+	}
+}
+
+// What is told of a key depends on whose claim is asked for; an answer that is told again bears the id of who asks, and the one
+// that is kept stays as it is.
+func TestRecalled(t *testing.T) {
+	id, other := tally.ID{Life: 1, N: 1}, tally.ID{Life: 1, N: 2}
+	kept := &Answer{Status: 200, Header: []Field{{Name: HeaderID, Value: "first"}, {Name: HeaderSeal, Value: "s"}}}
+	for _, c := range []struct {
+		name  string
+		op    tally.Op[*Answer]
+		known bool
+		by    tally.ID
+		want  plight.Kind
+	}{
+		{"done", tally.Op[*Answer]{ID: id, State: tally.Done, Answer: kept}, true, id, plight.OK},
+		{"another claim", tally.Op[*Answer]{ID: id, State: tally.Done, Answer: kept}, true, other, plight.Gone},
+		{"unheard of", tally.Op[*Answer]{}, false, id, plight.Gone},
+		{"at work", tally.Op[*Answer]{ID: id, State: tally.AtWork}, true, id, plight.KeyAtWork},
+		{"unknown", tally.Op[*Answer]{ID: id, State: tally.Unknown}, true, id, plight.KeyUnknown},
+		{"void", tally.Op[*Answer]{ID: id, State: tally.Void}, true, id, plight.KeySplit},
+	} {
+		if o := recalled(c.op, c.known, c.by); o.Plight != c.want || (o.answer != nil) != (c.want == plight.OK) {
+			t.Errorf("%s: %v, answer %v", c.name, o.Plight, o.answer)
+		}
+	}
+	again := kept.under("second")
+	if again.Header[0].Value != "second" || again.Header[1].Value != "s" || kept.Header[0].Value != "first" {
+		t.Errorf("told again: %v, kept: %v", again.Header, kept.Header)
+	}
+}
