--- a/internal/purser/purser_test.go
+++ b/internal/purser/purser_test.go
@@ -359,3 +359,34 @@
 		}
 	}
 }
+
+// What is known to be chosen is taken though more was promised, and the promise stays: a member that missed a change would
+// else be told of it again and again behind each reading.
+func TestChosenBehindAPromise(t *testing.T) {
+	d := founded(t)
+	item := func(v manifest.Version, b uint64) manifest.Item {
+		return manifest.Item{Key: manifest.Key{Kind: manifest.Limits}, Version: v, Ballot: manifest.Ballot{N: b}, Spec: []byte("{}")}
+	}
+	accept := func(b uint64, chosen bool) (a codebook.Accepted) {
+		r := d.call(codebook.Accept, codebook.AcceptCall{B: manifest.Ballot{N: b}, Changes: []manifest.Item{item(manifest.Version(b), b)}, Epoch: 1, Chosen: chosen})
+		d.settle()
+		if r.n != 1 || r.err != nil || signal.Decode(r.body, &a) != nil {
+			t.Fatalf("%d answers, %v", r.n, r.err)
+		}
+		return a
+	}
+	d.call(codebook.Prepare, codebook.PrepareCall{B: manifest.Ballot{N: 9}, Epoch: 1})
+	d.settle()
+	if accept(7, false).Taken {
+		t.Fatal("a value below the promise was taken")
+	}
+	if !accept(7, true).Taken || d.acc.Chosen.N != 7 || d.acc.Promised.N != 9 {
+		t.Errorf("chosen %v, promised %v", d.acc.Chosen, d.acc.Promised)
+	}
+	if accept(6, true).Taken || accept(8, false).Taken || d.acc.Accepted.N != 7 {
+		t.Errorf("accepted %v behind what was chosen and promised", d.acc.Accepted)
+	}
+	if !accept(9, false).Taken {
+		t.Error("the value that was promised for was not taken")
+	}
+}
