Gangway: a long failure gives its place back, and a slow body is not cut

Cause, found by reading: a 5xx of over 64 KiB that another attempt followed was never closed, so its place at the backend was lost for good; and a body of over 64 KiB had 5 s in all, not 5 s of silence, after which its connection was reset. Change: a long failure is let go before the next attempt; each read of such a body renews its time.

--- a/internal/gangway/front.go
+++ b/internal/gangway/front.go
@@ -124,7 +124,7 @@
 	}
 	v := &voyage{g: g, r: r, body: body, came: came}
 	if rest != nil {
-		v.rest = rest
+		v.rest = &stalling{c.Conn, rest}
 	}
 	a, k := v.sail()
 	c.SetReadDeadline(time.Time{})
@@ -463,7 +463,6 @@
 				g.Counts.Served.Add(1)
 				return o.answer, k, c.addr
 			}
-			last.Close(false)
 			last, ran = o.answer, plight.Failed
 			k = plight.Failed
 		} else if !k.NotRun() {
@@ -486,6 +485,10 @@
 		if !again {
 			break
 		}
+		if last != nil && last.Rest != nil { // a long one holds its place at the backend, which the next attempt may need
+			last.Close(false)
+			last = nil
+		}
 		g.Counts.Retries.Add(1)
 		if wait > 0 {
 			time.Sleep(wait)
--- /dev/null
+++ b/internal/gangway/way_test.go
@@ -0,0 +1,155 @@
+package gangway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"saltmast/internal/berths"
+	"saltmast/internal/council"
+	"saltmast/internal/drydock/sea"
+	"saltmast/internal/manifest"
+	"saltmast/internal/pilot"
+)
+
+// way is one proxy with a backend beside it, on a network in memory and in virtual time.
+type way struct {
+	*Gangway
+	p     *sea.Process
+	front string
+}
+
+// newWay has answer write the backend's answer to each request, whose body it may read.
+func newWay(t *testing.T, route string, answer func(w io.Writer, r *http.Request)) *way {
+	const ip = "10.0.0.1"
+	p := sea.New(1).Machine(ip, "north").Start()
+	on := &way{p: p, front: ip + ":81"}
+	listen := func(addr string) net.Listener {
+		l, err := p.Listen(addr, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return l
+	}
+	back := listen(ip + ":80")
+	go func() {
+		for {
+			c, err := back.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for in := bufio.NewReader(c); ; {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					answer(c, r)
+					io.Copy(io.Discard, r.Body)
+				}
+			}()
+		}
+	}()
+	on.Gangway = New(Options{Node: "n", Zone: "north", Service: "ledger", App: ip + ":80", GateAddr: ip + ":82", Life: 7, Begun: time.Now(),
+		Heartbeat: time.Hour, Ratio: 1, Allowance: 100, Window: 10 * time.Second, KeyWindow: time.Minute, AnswerBytes: 1 << 20,
+		Net: p, Council: council.New(p), Log: func(event, text string) { t.Log(event, text) }})
+	on.Gate.OnChange(func(b berths.Berth) { on.Hear(b) })
+	call, err := manifest.DecodeCall([]byte(`{"upsert":{"resources":[{"resource-kind":"services","metadata":{"name":"ledger","version":"r1"},"specification":{}},` +
+		`{"resource-kind":"routes","metadata":{"name":"a","version":"r1"},"specification":` + route + `}]}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	set := manifest.Set{}
+	for _, i := range call.Items {
+		set.Join(i)
+	}
+	on.Configure(set.Chart())
+	on.Gate.Beat(pilot.Beat{ID: "i-1", Service: "ledger", Capacity: 2, Count: 1, State: berths.Serving})
+	go on.Serve(listen(on.front))
+	t.Cleanup(func() {
+		p.End()
+		on.Stop(0)
+		on.End()
+	})
+	return on
+}
+
+// ask sends one request on a connection of its own and reads its answer.
+func (w *way) ask(t *testing.T, head string, body func(net.Conn)) (*http.Response, string, error) {
+	c, err := w.p.Dial(t.Context(), w.front, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "%s\r\nHost: h\r\n%s: r-1\r\n", strings.ReplaceAll(head, "\n", "\r\n"), HeaderID)
+	io.WriteString(c, "\r\n")
+	if body != nil {
+		body(c)
+	}
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return nil, "", err
+	}
+	b, err := io.ReadAll(r.Body)
+	return r, string(b), err
+}
+
+const lookup = `{"host":"h","path-prefix":"/a/","route-kind":"idempotent","deadline-s":60,"target-s":30,"service":"ledger","max-attempts":2}`
+
+// serves writes an answer as backends do.
+func serves(w io.Writer, r *http.Request, status, size int) {
+	fmt.Fprintf(w, "HTTP/1.1 %d x\r\n%s: %s\r\n%s: s\r\nContent-Length: %d\r\n\r\n%s", status, HeaderID, r.Header.Get(HeaderID), HeaderSeal, size,
+		strings.Repeat("x", size))
+}
+
+// A long failure of the backend holds its place while it may be all there is to answer with, and no longer.
+func TestLongFailureGivesItsPlaceBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := 0
+		w := newWay(t, lookup, func(w io.Writer, r *http.Request) {
+			if n++; n == 1 {
+				serves(w, r, 500, 100<<10)
+			} else {
+				serves(w, r, 200, 3)
+			}
+		})
+		r, body, err := w.ask(t, "GET /a/1 HTTP/1.1", nil)
+		if err != nil || r.StatusCode != 200 || body != "xxx" {
+			t.Fatalf("%v, %v", r, err)
+		}
+		synctest.Wait()
+		if running, waiting := w.Gate.load(); running+waiting != 0 {
+			t.Errorf("%d run and %d wait at rest", running, waiting)
+		}
+	})
+}
+
+// A body may take as long as it brings something: it is its silence that is bounded.
+func TestSlowBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		got := 0
+		w := newWay(t, lookup, func(w io.Writer, r *http.Request) {
+			b, err := io.ReadAll(r.Body)
+			if got = len(b); err == nil {
+				serves(w, r, 200, 1)
+			}
+		})
+		const pieces, piece = 20, 10 << 10
+		r, _, err := w.ask(t, fmt.Sprintf("PUT /a/1 HTTP/1.1\nContent-Length: %d", pieces*piece), func(c net.Conn) {
+			for range pieces {
+				time.Sleep(stallTime / 5) // of the bubble's time
+				io.WriteString(c, strings.Repeat("x", piece))
+			}
+		})
+		if err != nil || r.StatusCode != 200 || got != pieces*piece {
+			t.Errorf("%v, %v; the backend got %d bytes of %d", r, err, got, pieces*piece)
+		}
+	})
+}
