Purser: a value on disk stands for its promise, whose own write may have failed

Cause, found by reading: with the promise's write refused (disk full) and its value's not, a restart forgot the promise, and an accept of a lower ballot overwrote what may have been chosen: a configuration that goes back. Change: what was accepted counts as promised when the disk is read. Result: TestPromiseThatOnlyItsValueTells, seen to fail without it (ballot 1 taken over 2), passes.

--- a/internal/purser/purser.go
+++ b/internal/purser/purser.go
@@ -337,6 +337,9 @@
 	if err != nil {
 		return err
 	}
+	if b.acc.Promised.Less(b.acc.Accepted) { // the write of the promise had failed, that of its value had not
+		b.acc.Promised = b.acc.Accepted
+	}
 	if err := b.disk.Load(tableItems, func(k, v []byte) error {
 		var i manifest.Item
 		if err := signal.Decode(v, &i); err != nil {
--- a/internal/purser/purser_test.go
+++ b/internal/purser/purser_test.go
@@ -390,3 +390,20 @@
 		t.Error("the value that was promised for was not taken")
 	}
 }
+
+// A promise whose write failed, though that of its value did not, holds after a restart: a lower ballot would overwrite what may
+// be chosen.
+func TestPromiseThatOnlyItsValueTells(t *testing.T) {
+	d := founded(t)
+	d.call(codebook.Prepare, codebook.PrepareCall{B: manifest.Ballot{N: 2}, Epoch: 1})
+	d.paper.sync(hold.ErrFull)
+	d.call(codebook.Accept, codebook.AcceptCall{B: manifest.Ballot{N: 2}, Epoch: 1})
+	d.settle()
+	d.open() // as after a restart
+	r := d.call(codebook.Accept, codebook.AcceptCall{B: manifest.Ballot{N: 1}, Epoch: 1})
+	d.settle()
+	var a codebook.Accepted
+	if r.err != nil || signal.Decode(r.body, &a) != nil || a.Taken || a.Accepted.N != 2 {
+		t.Errorf("a lower ballot: %+v, %v", a, r.err)
+	}
+}
