Purser: what a dead repair left is looked up beside the owner's goroutine

Change: the keys are read by the repair's own goroutine and their deletions go ahead of what is put. Left: opening a disk that hangs still waits on the owner.

--- a/internal/purser/purser_test.go
+++ b/internal/purser/purser_test.go
@@ -105,6 +105,15 @@
 	return d
 }
 
+// left is what a repair that died has left on disk.
+func (d *desk) left(t *testing.T) []hold.Put {
+	left, err := leftovers(d.paper)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return left
+}
+
 // settle syncs all that waits, and does all that is to be done later.
 func (d *desk) settle() {
 	for len(d.paper.waits)+len(d.later) > 0 {
@@ -209,7 +218,7 @@
 		return mustered{m: codebook.Mustered{Vouch: ballot.Vouch{By: by, Incs: []uint64{inc, 1, 1}}}, claims: claims}
 	}
 	d.mustering = true // as since it began
-	d.restore(2, []mustered{told(1, 2), told(2, 2)})
+	d.restore(2, []mustered{told(1, 2), told(2, 2)}, d.left(t))
 	if !d.mustering {
 		t.Fatal("the next tick would begin another repair")
 	}
@@ -238,7 +247,7 @@
 		m.m.Items = append(m.m.Items, manifest.Item{Key: manifest.Key{Kind: manifest.Routes, Name: fmt.Sprint(i)}, Version: 1, Spec: make([]byte, 1000)})
 	}
 	m.m.Accepted = manifest.Ballot{N: 1}
-	d.restore(2, []mustered{m})
+	d.restore(2, []mustered{m}, d.left(t))
 	d.settle()
 	if d.state != Serving || len(d.paper.rows[tableClaims]) != keys || len(d.paper.rows[tableItems]) != items {
 		t.Errorf("%s, %d claims and %d items on disk", d.state, len(d.paper.rows[tableClaims]), len(d.paper.rows[tableItems]))
@@ -339,7 +348,7 @@
 	told := func(by int, n uint64) mustered {
 		return mustered{m: codebook.Mustered{Vouch: ballot.Vouch{By: by, Incs: []uint64{2, 1, 1}}}, claims: []codebook.ClaimCall{{Key: "k", ID: id(n)}}}
 	}
-	d.restore(2, []mustered{told(1, 1), told(2, 2)})
+	d.restore(2, []mustered{told(1, 1), told(2, 2)}, d.left(t))
 	d.save([]hold.Put{d.putRoll()}, func(*books, error) {})
 	d.settle()
 	again := newDesk(t, Options{})
--- a/internal/purser/repair.go
+++ b/internal/purser/repair.go
@@ -1,6 +1,7 @@
 package purser
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -93,7 +94,7 @@
 		return
 	}
 	b.mustering = true
-	roll, me, state := b.roll, b.me, b.state
+	roll, me, state, d := b.roll, b.me, b.state, b.disk
 	var addrs []string
 	if state == Repairing {
 		for i, v := range roll.Voters {
@@ -111,7 +112,7 @@
 	go func() {
 		var f func(*books)
 		if state == Repairing {
-			f = b.p.recover(addrs, roll, me)
+			f = b.p.recover(addrs, roll, me, d)
 		} else {
 			f = b.p.enrol(addrs)
 		}
@@ -181,7 +182,7 @@
 }
 
 // recover makes up for a lost disk.
-func (p *Purser) recover(addrs []string, roll codebook.Roll, me int) func(*books) {
+func (p *Purser) recover(addrs []string, roll codebook.Roll, me int, d disk) func(*books) {
 	n := len(roll.Voters)
 	need := n - ballot.Majority(n) + 1 // with fewer others heard, a majority that held this member may have none among them
 	known, _ := ask[codebook.Mustered](p, addrs, codebook.Muster, codebook.MusterCall{Addr: p.o.Addr})
@@ -217,11 +218,16 @@
 	if len(got) < need {
 		return nil
 	}
-	return func(b *books) { b.restore(inc, got) }
+	left, err := leftovers(d)
+	if err != nil {
+		p.o.Log("repair", err.Error())
+		return nil
+	}
+	return func(b *books) { b.restore(inc, got, left) }
 }
 
-// restore takes what the others told, puts it on disk, and counts again.
-func (b *books) restore(inc uint64, got []mustered) {
+// restore takes what the others told, puts it on disk in place of what is left there, and counts again.
+func (b *books) restore(inc uint64, got []mustered, left []hold.Put) {
 	if b.state != Repairing || b.disk == nil {
 		b.mustering = false
 		return
@@ -259,12 +265,7 @@
 		puts = append(puts, putItem(i))
 	}
 	b.ledger.All(func(key string, id tally.ID) { puts = append(puts, putClaim(key, id)) })
-	puts, err := b.sweep(puts)
-	if err != nil {
-		b.mustering = false
-		b.p.o.Log("repair", err.Error())
-		return
-	}
+	puts = append(left, puts...) // in one order: what shall be there comes after
 	saved := b.incs
 	b.incs = incs
 	puts = append(puts, b.putIncs()) // its incarnation comes last: before it, the repair is not done
@@ -282,28 +283,16 @@
 	})
 }
 
-// sweep adds to puts, which are all that shall be there, the deletion of what a repair that died has left on disk beside.
-func (b *books) sweep(puts []hold.Put) ([]hold.Put, error) {
-	type place struct {
-		t   hold.Table
-		key string
-	}
-	wanted := make(map[place]bool, len(puts))
-	for _, p := range puts {
-		wanted[place{p.Table, string(p.Key)}] = true
-	}
+// leftovers are the deletions of all items and claims on disk: of a repair that died. It waits for the disk, and is not for the
+// owner's goroutine.
+func leftovers(d disk) (out []hold.Put, err error) {
 	for _, t := range []hold.Table{tableItems, tableClaims} {
-		err := b.disk.Load(t, func(k, _ []byte) error {
-			if !wanted[place{t, string(k)}] {
-				puts = append(puts, hold.Put{Table: t, Key: k})
-			}
+		err = errors.Join(err, d.Load(t, func(k, _ []byte) error {
+			out = append(out, hold.Put{Table: t, Key: k})
 			return nil
-		})
-		if err != nil {
-			return nil, err
-		}
+		}))
 	}
-	return puts, nil
+	return out, err
 }
 
 // Bounds of one part of what is saved: each passes through the disk's queue beside what else there is.
