--- a/internal/harbour/harbour.go
+++ b/internal/harbour/harbour.go
@@ -465,10 +465,6 @@
 // maxMasters bounds those that are known.
 const maxMasters = 64
 
-// goneAfter is how long a machine is not heard of before what is known of it is dropped. The roster remembers the dead for
-// longer, and who it holds dead is not taken up again on the word of others meanwhile.
-const goneAfter = 5 * time.Minute
-
 // meet takes note of a harbourmaster and begins to pull from it.
 func (b *books) meet(m codebook.Master) {
 	if m.Addr == "" || m.Name == "" {
@@ -541,20 +537,14 @@
 // knows nothing of who is gone.
 func (b *books) sweep(now time.Time, since time.Duration, seeds []string) {
 	head := b.h.o.Head
-	alive := map[string]bool{}
-	for _, p := range head.Peers(codebook.RoleTug) {
-		if p.State == roster.Alive {
-			alive[p.Node] = true
-		}
-	}
-	if b.berths.Lacks(alive) {
+	if b.berths.Lacks(head.Alive(codebook.RoleTug)) {
 		b.anew++
 	}
 	if head.Alone() || b.fresh() > 3000 {
 		clear(b.lost)
 		return
 	}
-	if gone := b.berths.Sweep(since, goneAfter, func(x berths.Berth) bool { return head.Lives(x.Addr) }); len(gone) > 0 {
+	if gone := b.berths.Sweep(since, masthead.GoneAfter, func(x berths.Berth) bool { return head.Lives(x.Addr) }); len(gone) > 0 {
 		b.h.o.Log("gone", strings.Join(gone, " "))
 	}
 	listed := false
@@ -564,7 +554,7 @@
 			delete(b.lost, name)
 		case !ok:
 			b.lost[name] = now
-		case now.Sub(at) >= goneAfter:
+		case now.Sub(at) >= masthead.GoneAfter:
 			delete(b.lost, name)
 			delete(b.masters, name)
 			listed = true
--- a/internal/masthead/masthead.go
+++ b/internal/masthead/masthead.go
@@ -210,6 +210,21 @@
 	return out
 }
 
+// GoneAfter is how long a machine is not heard of before what is known of it is dropped. The roster remembers the dead for
+// longer, and who it holds dead is not taken up again on the word of others meanwhile.
+const GoneAfter = 5 * time.Minute
+
+// Alive are the nodes of a role that the roster holds alive.
+func (m *Masthead) Alive(role uint8) map[string]bool {
+	out := map[string]bool{}
+	for _, p := range m.Peers(role) {
+		if p.State == roster.Alive {
+			out[p.Node] = true
+		}
+	}
+	return out
+}
+
 // Alone says whether nobody else is known to live.
 func (m *Masthead) Alone() bool { return m == nil || m.carriage.Snapshot().Live < 2 }
 
--- a/internal/tug/tug.go
+++ b/internal/tug/tug.go
@@ -25,7 +25,6 @@
 	"saltmast/internal/masthead"
 	"saltmast/internal/pilot"
 	"saltmast/internal/plight"
-	"saltmast/internal/roster"
 	"saltmast/internal/signal"
 	"saltmast/internal/sock"
 )
@@ -177,11 +176,7 @@
 	}
 }
 
-const (
-	sweepEvery = 10 * time.Second
-	// goneAfter is how long a machine is not heard of before its entry is dropped. The roster remembers the dead for longer.
-	goneAfter = 5 * time.Minute
-)
+const sweepEvery = 10 * time.Second
 
 // watch looks at what comes with time alone, and at what the roster says.
 func (t *Tug) watch() {
@@ -216,17 +211,12 @@
 // sweep drops the entries of machines that are long gone, while this one hears the core and others: one that is cut off knows
 // nothing of who is gone.
 func (t *Tug) sweep(now time.Duration) {
-	alive := map[string]bool{}
-	for _, p := range t.head.Peers(codebook.RoleTug) {
-		if p.State == roster.Alive {
-			alive[p.Node] = true
-		}
-	}
+	alive := t.head.Alive(codebook.RoleTug)
 	node := t.s.Load().NodeName
 	t.mu.Lock()
 	var gone []string
 	if !t.head.Alone() && time.Since(t.heard) < 2*staleMs*time.Millisecond {
-		gone = t.table.Sweep(now, goneAfter, func(b berths.Berth) bool { return b.Node == node || t.head.Lives(b.Addr) })
+		gone = t.table.Sweep(now, masthead.GoneAfter, func(b berths.Berth) bool { return b.Node == node || t.head.Lives(b.Addr) })
 	}
 	t.whole = t.whole || t.table.Lacks(alive)
 	t.mu.Unlock()
