Purser: a disk is opened beside the owner's goroutine

Cause, found by reading: a disk that hung at the start held the owner, so that watches, reports and the end waited for it. Change: opening and reading go beside it into books of their own, which the owner takes over.

--- a/internal/purser/purser.go
+++ b/internal/purser/purser.go
@@ -71,7 +71,8 @@
 	Counts Counts
 	ended  chan struct{}
 	begin  func(hold.Options) (disk, hold.Start, error)
-	later  func(func(*books)) // queues a command from where nobody may wait
+	aside  func(func() func(*books)) // does what waits beside the owner's goroutine, and queues the command that it gives
+	later  func(func(*books))        // queues a command from where nobody may wait
 }
 
 // disk is what a purser asks of its hold.
@@ -98,6 +99,8 @@
 	queued    []func(*books)
 	watchers  []*watcher
 	mustering bool
+	opening   bool   // the disk is being opened
+	closed    bool   // the purser ends
 	trouble   string // why the disk could not be opened, as the log has it
 }
 
@@ -121,6 +124,13 @@
 func StartOn(o Options, l net.Listener) *Purser {
 	p := &Purser{o: o, ended: make(chan struct{}), begin: openHold}
 	p.later = func(f func(*books)) { go p.own.Send(f) }
+	p.aside = func(f func() func(*books)) {
+		go func() {
+			if g := f(); !p.own.Ask(g) { // it has ended meanwhile
+				g(&books{p: p, closed: true})
+			}
+		}()
+	}
 	b := &books{p: p, begun: time.Now(), state: NoDisk, me: -1, duties: duty.NewLedger(0)}
 	b.clear()
 	p.own = signal.Own(b, 1024)
@@ -143,7 +153,7 @@
 	close(p.ended)
 	p.server.Close()
 	var disk disk
-	p.own.Ask(func(b *books) { disk = b.disk })
+	p.own.Ask(func(b *books) { disk, b.closed = b.disk, true })
 	p.own.End()
 	if disk != nil {
 		return disk.Close()
@@ -207,27 +217,45 @@
 }
 
 // open opens the disk and reads all that is there.
+//
+// The disk is waited for beside the owner's goroutine: one that hangs must not silence watches and reports.
 func (b *books) open() {
-	disk, found, err := b.p.begin(hold.Options{Dir: b.p.o.Dir, MaxBytes: b.p.o.MaxBytes, Disk: b.p.o.Disk,
-		Log: func(s string) { b.p.o.Log("disk", s) }})
-	if err != nil {
+	if b.opening {
+		return
+	}
+	b.opening = true
+	p, begun := b.p, b.begun
+	p.aside(func() func(*books) {
+		disk, found, err := p.begin(hold.Options{Dir: p.o.Dir, MaxBytes: p.o.MaxBytes, Disk: p.o.Disk,
+			Log: func(s string) { p.o.Log("disk", s) }})
+		read := &books{p: p, begun: begun, disk: disk}
+		if read.forget(); err == nil {
+			p.o.Log("disk", "found "+found.String())
+			if err = read.read(); err != nil { // nothing of it counts, above all not its incarnation: the next disk may be an empty one
+				disk.Close()
+				err = fmt.Errorf("reading: %w", err)
+			}
+		}
+		return func(b *books) { b.opened(read, found, err) }
+	})
+}
+
+// opened takes what was read off a disk.
+func (b *books) opened(read *books, found hold.Start, err error) {
+	b.opening = false
+	switch {
+	case err != nil:
 		if text := err.Error(); text != b.trouble {
 			b.trouble = text
 			b.p.o.Log("disk", text)
 		}
 		return
-	}
-	b.trouble = ""
-	b.p.o.Log("disk", "found "+found.String())
-	b.forget()
-	b.disk = disk
-	if err := b.read(); err != nil {
-		b.p.o.Log("disk", "reading: "+err.Error())
-		disk.Close()
-		b.disk = nil
-		b.forget() // above all its incarnation: the next disk may be an empty one
+	case b.closed:
+		go read.disk.Close()
 		return
 	}
+	b.trouble = ""
+	b.disk, b.acc, b.ledger, b.roll, b.incs, b.me = read.disk, read.acc, read.ledger, read.roll, read.incs, read.me
 	switch {
 	case b.roll.Epoch > 0:
 		b.place()
--- a/internal/purser/purser_test.go
+++ b/internal/purser/purser_test.go
@@ -98,6 +98,7 @@
 	d := &desk{paper: newPaper()}
 	p := &Purser{o: o, later: func(f func(*books)) { d.later = append(d.later, f) }}
 	p.begin = func(hold.Options) (disk, hold.Start, error) { return d.paper, d.as, nil }
+	p.aside = func(f func() func(*books)) { f()(d.books) }
 	p.own = signal.Own(&books{}, 64) // hears of what a repair found, which no test here waits for
 	t.Cleanup(p.own.End)
 	d.books = &books{p: p, begun: time.Now(), state: NoDisk, me: -1}
@@ -416,3 +417,28 @@
 		t.Errorf("a lower ballot: %+v, %v", a, r.err)
 	}
 }
+
+// While a disk is being opened, which may hang, calls are answered, and nobody opens it again.
+func TestDiskThatOpensSlowly(t *testing.T) {
+	d := newDesk(t, Options{Bootstrap: true, Found: voters})
+	var work []func() func(*books)
+	d.p.aside = func(f func() func(*books)) { work = append(work, f) }
+	d.open()
+	d.tick()
+	r := d.call(codebook.Watch, codebook.WatchCall{})
+	var w codebook.Watched
+	if r.n != 1 || r.err != nil || signal.Decode(r.body, &w) != nil || w.State != string(NoDisk) {
+		t.Errorf("%d answers, %v, %+v", r.n, r.err, w)
+	}
+	if c := d.call(codebook.Claim, codebook.ClaimCall{Key: "k", ID: id(1), Epoch: 1}); plight.Of(c.err) != plight.CoreOut {
+		t.Errorf("a claim meanwhile: %v", c.err)
+	}
+	if len(work) != 1 {
+		t.Fatalf("opened %d times", len(work))
+	}
+	work[0]()(d.books)
+	d.settle()
+	if d.state != Serving {
+		t.Errorf("%s in the end", d.state)
+	}
+}
