Gate: who ranks before takes the turn of the last that waits

A gate lets as many wait as its backend has places, the highest rank first; but once those were there, one that ranked before all of them was turned away. Now the last of those that wait is turned away at once instead, with proof that nothing ran, if the one that comes ranks before it.

A test of ranks at a full gate, seen to fail before.

--- a/internal/gangway/gate.go
+++ b/internal/gangway/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"container/heap"
 	"context"
 	"errors"
@@ -58,7 +59,7 @@
 // wait is one ask that waits for a place.
 type wait struct {
 	rank, order int
-	ready       chan bool // true: it has a place
+	ready       chan plight.Kind // OK: it has a place; else why not
 	at          int
 }
 
@@ -223,7 +224,7 @@
 // turnOut turns away all that wait. The caller holds g.mu.
 func (g *Gate) turnOut() {
 	for len(g.queue) > 0 {
-		heap.Pop(&g.queue).(*wait).ready <- false
+		heap.Pop(&g.queue).(*wait).ready <- plight.Leaving
 	}
 }
 
@@ -231,7 +232,7 @@
 func (g *Gate) admit() {
 	for len(g.queue) > 0 && g.running < g.berth.Capacity {
 		g.running++
-		heap.Pop(&g.queue).(*wait).ready <- true
+		heap.Pop(&g.queue).(*wait).ready <- plight.OK
 	}
 }
 
@@ -252,22 +253,19 @@
 		g.running++
 		g.mu.Unlock()
 		return plight.OK
-	case a.Hold == 0 || float64(len(g.queue)) >= queuePart*float64(g.berth.Capacity):
+	case a.Hold == 0 || float64(len(g.queue)) >= queuePart*float64(g.berth.Capacity) && !g.makeRoom(a.Rank):
 		g.mu.Unlock()
 		return plight.Full
 	}
 	g.order++
-	w := &wait{rank: a.Rank, order: g.order, ready: make(chan bool, 1)}
+	w := &wait{rank: a.Rank, order: g.order, ready: make(chan plight.Kind, 1)}
 	heap.Push(&g.queue, w)
 	g.mu.Unlock()
 	t := time.NewTimer(time.Duration(a.Hold) * time.Millisecond)
 	defer t.Stop()
 	select {
-	case ok := <-w.ready:
-		if !ok {
-			return plight.Leaving
-		}
-		return plight.OK
+	case k := <-w.ready:
+		return k
 	case <-t.C:
 	}
 	g.mu.Lock()
@@ -276,10 +274,24 @@
 		heap.Remove(&g.queue, w.at)
 		return plight.Full
 	}
-	if <-w.ready { // it was given in the same moment
-		return plight.OK
+	return <-w.ready // it was decided in the same moment
+}
+
+// makeRoom turns away the last of those that wait, if it ranks behind, and reports whether it did: it is told at once, while
+// there is time to go elsewhere. The caller holds g.mu.
+func (g *Gate) makeRoom(rank int) bool {
+	if len(g.queue) == 0 {
+		return false
+	}
+	last := slices.MaxFunc(g.queue, func(a, b *wait) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.order, b.order))
+	})
+	if last.rank <= rank {
+		return false
 	}
-	return plight.Leaving
+	heap.Remove(&g.queue, last.at)
+	last.ready <- plight.Full
+	return true
 }
 
 // exit gives a place back, and tells what is there then.
--- a/internal/gangway/gate_test.go
+++ b/internal/gangway/gate_test.go
@@ -91,6 +91,46 @@
 	}
 }
 
+// Where no more may wait, one that ranks before the last of those that do takes its turn, and that one is turned away at once.
+func TestPlacesByRank(t *testing.T) {
+	g := gateOf(t)
+	g.Beat(pilot.Beat{ID: "i-1", Service: "ledger", Capacity: 1, Count: 1, State: berths.Serving})
+	ask := func(rank int) *ask { return &ask{Instance: "i-1", Service: "ledger", Rank: rank, Hold: 60_000} }
+	wait := func(rank int) chan plight.Kind {
+		got := make(chan plight.Kind, 1)
+		at := g.order
+		go func() { got <- g.enter(ask(rank)) }()
+		for now := at; now == at; {
+			runtime.Gosched()
+			g.mu.Lock()
+			now = g.order
+			g.mu.Unlock()
+		}
+		return got
+	}
+	if k := g.enter(ask(2)); k != plight.OK {
+		t.Fatalf("the first: %v", k)
+	}
+	low := wait(2)
+	if k := g.enter(ask(2)); k != plight.Full {
+		t.Errorf("one of the same rank as the last: %v", k)
+	}
+	high := wait(1)
+	if k := <-low; k != plight.Full {
+		t.Errorf("the last, when one came that ranks before it: %v", k)
+	}
+	if k := g.enter(ask(2)); k != plight.Full {
+		t.Errorf("one that ranks behind: %v", k)
+	}
+	g.exit()
+	if k := <-high; k != plight.OK {
+		t.Errorf("the one that ranked first: %v", k)
+	}
+	if running, waiting := g.load(); running != 1 || waiting != 0 {
+		t.Errorf("%d run and %d wait, want 1 and none", running, waiting)
+	}
+}
+
 // What is told of a key depends on whose claim is asked for; an answer that is told again bears the id of who asks, and the one
 // that is kept stays as it is.
 func TestRecalled(t *testing.T) {
