Gate: places kept from the ranks behind where one found none; time to come back by cause

A rank that finds no place has one more kept from those behind, up to a third of all, half of it given back after a second. Ruled out: longer waits (a place is free only when a read ends).

Tests of both, seen to fail without the change.

--- a/internal/gangway/front.go
+++ b/internal/gangway/front.go
@@ -212,7 +212,7 @@
 		head += HeaderID + ": " + id + "\r\n"
 	}
 	if a.Again {
-		head += "Retry-After: " + strconv.FormatFloat(v.comeBack().Seconds(), 'f', 3, 64) + "\r\n"
+		head += "Retry-After: " + strconv.FormatFloat(v.comeBack(k).Seconds(), 'f', 3, 64) + "\r\n"
 	}
 	return c.put(a.Status, head, []byte(a.Text+"\n"), last)
 }
@@ -339,16 +339,29 @@
 	claim tally.ID
 }
 
-// comeBack is when a client should come back with what was refused: soon, but not all at once.
-func (v *voyage) comeBack() time.Duration {
+// comeBack is when a client should come back with what was answered by k, not all at once: soon where a place or a vote was
+// lost to others, later where something is out that takes its time to come back.
+func (v *voyage) comeBack(k plight.Kind) time.Duration {
 	aim := 400 * time.Millisecond
 	if v.route != nil {
 		aim = v.route.Target
 	}
-	spread := time.Duration(v.came.UnixNano() % int64(aim/16+1))
-	return max(10*time.Millisecond, aim/10+spread)
+	wait, spread := aim/10, aim/16
+	switch k {
+	case plight.NotReady, plight.NoBackend, plight.CoreOut, plight.Away, plight.Repairing, plight.DiskOut:
+		wait, spread = aim/outPart, aim/8
+		if left := time.Until(v.cut); v.route != nil {
+			wait = min(max(wait, left/outLeft), aim)
+		}
+	}
+	return max(10*time.Millisecond, wait+time.Duration(v.came.UnixNano()%int64(spread+1)))
 }
 
+const (
+	outPart = 4 // of the target: a client of what is out comes back after that
+	outLeft = 5 // or after that part of the time left, if that is longer, up to the target
+)
+
 // Own headers are set by the mesh, whatever was sent.
 func ownHeader(name string) bool {
 	return name == HeaderTarget || name == HeaderLeft || name == HeaderCaller || name == "Expect"
--- a/internal/gangway/gate.go
+++ b/internal/gangway/gate.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/textproto"
 	"slices"
@@ -43,6 +44,7 @@
 	running int
 	queue   waits
 	order   int
+	kept    [4]kept            // places for those of each rank, from which those that rank behind are kept
 	past    []string           // lives that have ended
 	news    func(berths.Berth) // hears of each change
 	open    map[net.Conn]bool
@@ -87,7 +89,9 @@
 	backendDial  = 500 * time.Millisecond
 	queuePart    = 1.0 // asks that may wait, of the capacity
 	lateBy       = 40 * time.Millisecond
-	maxStrange   = 4 // answers to others that may come before the one that is wanted
+	keepMost     = 0.34        // of the capacity, that is kept free for those that rank before at the most
+	keepHalf     = time.Second // after which half of that is given back
+	maxStrange   = 4           // answers to others that may come before the one that is wanted
 	maxAnswer    = 1 << 40
 	keepAliveOff = 300 * time.Millisecond // a connection is let go so long before its backend would
 )
@@ -230,7 +234,7 @@
 
 // admit gives places to those that wait. The caller holds g.mu.
 func (g *Gate) admit() {
-	for len(g.queue) > 0 && g.running < g.berth.Capacity {
+	for len(g.queue) > 0 && g.running < g.limit(g.queue[0].rank) {
 		g.running++
 		heap.Pop(&g.queue).(*wait).ready <- plight.OK
 	}
@@ -249,11 +253,12 @@
 	case g.berth.State != berths.Serving:
 		g.mu.Unlock()
 		return plight.Leaving
-	case g.running < g.berth.Capacity:
+	case g.running < g.limit(a.Rank):
 		g.running++
 		g.mu.Unlock()
 		return plight.OK
 	case a.Hold == 0 || float64(len(g.queue)) >= queuePart*float64(g.berth.Capacity) && !g.makeRoom(a.Rank):
+		g.keep(a.Rank)
 		g.mu.Unlock()
 		return plight.Full
 	}
@@ -272,6 +277,7 @@
 	defer g.mu.Unlock()
 	if w.at >= 0 {
 		heap.Remove(&g.queue, w.at)
+		g.keep(a.Rank)
 		return plight.Full
 	}
 	return <-w.ready // it was decided in the same moment
@@ -294,6 +300,43 @@
 	return true
 }
 
+// keep takes note that one of a rank found no place: from now on one more is kept free from those that rank behind. The caller
+// holds g.mu.
+func (g *Gate) keep(rank int) {
+	if rank < 0 || rank >= len(g.kept) {
+		return
+	}
+	now := time.Since(g.o.Begun)
+	g.kept[rank] = kept{min(g.kept[rank].at(now)+1, keepMost*float64(g.berth.Capacity)), now}
+}
+
+// limit is how many may run before one of a rank has to wait. The caller holds g.mu.
+func (g *Gate) limit(rank int) int {
+	sum := 0.0
+	now := time.Since(g.o.Begun)
+	for r := 0; r < min(rank, len(g.kept)); r++ {
+		sum += g.kept[r].at(now)
+	}
+	return g.berth.Capacity - int(min(sum, keepMost*float64(g.berth.Capacity)))
+}
+
+// kept are places that are kept free for those of one rank: so many at a time.
+type kept struct {
+	places float64
+	since  time.Duration
+}
+
+// at is what is left of them: half after keepHalf, none below one.
+func (k kept) at(now time.Duration) float64 {
+	if k.places == 0 {
+		return 0
+	}
+	if p := k.places * math.Exp2(-float64(now-k.since)/float64(keepHalf)); p >= 0.5 {
+		return p
+	}
+	return 0
+}
+
 // exit gives a place back, and tells what is there then.
 func (g *Gate) exit() (running, waiting int) {
 	g.mu.Lock()
--- a/internal/gangway/gate_test.go
+++ b/internal/gangway/gate_test.go
@@ -3,9 +3,11 @@
 import (
 	"runtime"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"saltmast/internal/berths"
+	"saltmast/internal/manifest"
 	"saltmast/internal/pilot"
 	"saltmast/internal/plight"
 	"saltmast/internal/tally"
@@ -131,6 +133,58 @@
 	}
 }
 
+// Places that one of a rank did not find are kept from those that rank behind, up to a part of all, and are given back as time
+// goes on.
+func TestPlacesKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(Options{Node: "n", Service: "ledger", GateAddr: "a:1", Life: 7, Begun: time.Now(), Heartbeat: time.Minute,
+			KeyWindow: time.Minute, AnswerBytes: 1 << 20, Log: func(string, string) {}})
+		defer g.book.End()
+		g.Beat(pilot.Beat{ID: "i-1", Service: "ledger", Capacity: 10, Count: 1, State: berths.Serving})
+		enter := func(rank int) plight.Kind { return g.enter(&ask{Instance: "i-1", Service: "ledger", Rank: rank}) }
+		for range 10 {
+			if k := enter(2); k != plight.OK {
+				t.Fatalf("a place of ten that nothing is kept from: %v", k)
+			}
+		}
+		for range 9 {
+			if k := enter(1); k != plight.Full {
+				t.Fatalf("an eleventh: %v", k)
+			}
+		}
+		if got := [3]int{g.limit(0), g.limit(1), g.limit(2)}; got != [3]int{10, 10, 7} {
+			t.Errorf("places for the ranks 0, 1, 2: %v, want 10, 10 and, with a third kept, 7", got)
+		}
+		for range 3 {
+			g.exit()
+		}
+		if a, b, c := enter(2), enter(1), enter(0); a != plight.Full || b != plight.OK || c != plight.OK {
+			t.Errorf("with 7 of 10 taken, ranks 2, 1, 0 get: %v, %v, %v", a, b, c)
+		}
+		time.Sleep(keepHalf)
+		if got := g.limit(2); got != 9 {
+			t.Errorf("after half of what was kept is given back: %d places for the last rank, want 9", got)
+		}
+		time.Sleep(3 * keepHalf)
+		if got := g.limit(2); got != 10 {
+			t.Errorf("after some time: %d places for the last rank, want all", got)
+		}
+	})
+}
+
+// A client comes back soon where a place was lost to others, and later where something is out; never beyond the route's target.
+func TestComeBack(t *testing.T) {
+	v := &voyage{came: time.Now(), cut: time.Now().Add(10 * time.Second), route: &manifest.Route{Target: 400 * time.Millisecond}}
+	soon, later := v.comeBack(plight.Full), v.comeBack(plight.CoreOut)
+	if soon < 40*time.Millisecond || soon > 65*time.Millisecond || later < 400*time.Millisecond || later > 450*time.Millisecond {
+		t.Errorf("full: %v, out with 10 s left: %v; want 40 to 65 ms, and the target and up to an eighth more", soon, later)
+	}
+	v.cut = time.Now().Add(300 * time.Millisecond)
+	if d := v.comeBack(plight.NoBackend); d < 100*time.Millisecond || d > 150*time.Millisecond {
+		t.Errorf("out with little left: %v, want a quarter of the target and up to an eighth more", d)
+	}
+}
+
 // What is told of a key depends on whose claim is asked for; an answer that is told again bears the id of who asks, and the one
 // that is kept stays as it is.
 func TestRecalled(t *testing.T) {
