Drydock: five more flawed worlds, and a cut-off core machine that loses its disk

Five flawed worlds are added. A registry knows one voter of three, whose word is enough to it (cut-wipe: CONFIG, read back). None needs a seam in a room: they are settings, calls from beside, or what a disk has after its purser's end.

--- a/internal/drydock/days.go
+++ b/internal/drydock/days.go
@@ -17,6 +17,7 @@
 	{Name: "core-all-kill", Floor: 0.65, Length: 12 * time.Second, Rate: 40, Keys: 0.7, Again: 2 * time.Second, Events: coreAllKill},
 	{Name: "core-wipe", Floor: 0.97, Length: 13 * time.Second, Events: coreWipe},
 	{Name: "core-cut", Floor: 0.97, Length: 13 * time.Second, Events: coreCut},
+	{Name: "cut-wipe", Floor: 0.97, Length: 13 * time.Second, Events: cutWipe},
 	{Name: "core-freeze", Floor: 0.97, Length: 11 * time.Second, Events: coreFreeze},
 	{Name: "power", Floor: 0.65, Length: 15 * time.Second, Events: power},
 	{Name: "power-wipe", Floor: 0.65, Length: 15 * time.Second, Events: powerWipe},
--- /dev/null
+++ b/internal/drydock/flaws.go
@@ -0,0 +1,96 @@
+package drydock
+
+import (
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"saltmast/internal/codebook"
+	"saltmast/internal/drydock/surveyor"
+	"saltmast/internal/signal"
+	"saltmast/internal/tally"
+)
+
+// What flawed worlds are made of, where settings are not enough.
+
+// copied is what a disk held at a time of the day, by the names of its files.
+type copied struct {
+	at    time.Duration
+	files map[string][]byte
+}
+
+// keep copies what is on disk ahead of a commit, for a world whose disks answer before they have kept (Flaw.Early). The hold's
+// goroutine calls it: nothing else writes there meanwhile.
+func (c *coreMachine) keep() {
+	early, now := c.w.flaw.Early, c.w.now()
+	if early == 0 || len(c.kept) > 0 && now-c.kept[len(c.kept)-1].at < early/8 {
+		return
+	}
+	for len(c.kept) > 0 && c.kept[0].at <= now-early {
+		c.kept = c.kept[1:]
+	}
+	k := copied{now, map[string][]byte{}}
+	found, err := os.ReadDir(c.dir)
+	c.w.must(err)
+	for _, f := range found {
+		b, err := os.ReadFile(filepath.Join(c.dir, f.Name()))
+		c.w.must(err)
+		k.files[f.Name()] = b
+	}
+	c.kept = append(c.kept, k)
+}
+
+// lose takes off the disk what it was to keep in the last moments before at, with its purser gone.
+func (c *coreMachine) lose(at time.Duration) {
+	all := c.kept
+	c.kept = nil
+	for _, k := range all {
+		if k.at <= at-c.w.flaw.Early {
+			continue
+		}
+		c.w.must(os.RemoveAll(c.dir))
+		c.w.must(os.MkdirAll(c.dir, 0o700))
+		for name, b := range k.files {
+			c.w.must(os.WriteFile(filepath.Join(c.dir, name), b, 0o600))
+		}
+		return
+	}
+}
+
+// giveBack has the members give back the claim of a key, whoever holds it.
+func (m *tugMachine) giveBack(key string) {
+	for _, core := range m.w.core {
+		c := signal.NewClient(m.crowd(), net.JoinHostPort(core.m.IP, strconv.Itoa(firstFree+codebook.PurserPort)))
+		var g tally.Grant
+		mine := tally.ID{Life: 1, N: 1, At: "nowhere"}
+		if c.Call(codebook.Claim, codebook.ClaimCall{Key: key, ID: mine, Epoch: 1}, &g, time.Second) == nil {
+			id := g.Holder
+			if g.Given {
+				id = mine
+			}
+			c.Call(codebook.Release, codebook.ReleaseCall{Key: key, ID: id}, nil, time.Second)
+		}
+		c.Close()
+	}
+}
+
+// cutWipe cuts a core machine off with an operator at it, and takes its disk before it is back.
+func cutWipe(w *World, op *operator) { cutAndWipe(w, op, w.core[op.r.IntN(3)]) }
+
+func cutAndWipe(w *World, op *operator, c *coreMachine) {
+	w.middle(op.r)
+	over := w.trouble("cut, wipe, kill", c.name, true)
+	w.sea.CutOff(c.m)
+	w.sea.Join(c.m, op.m)
+	w.pause(time.Duration(op.r.IntN(400)) * time.Millisecond)
+	op.send(&surveyor.Call{Items: []surveyor.Item{with(routes[0], func(r *route) { r.services = []string{"ledger"} }).item(7)}}, c.n, 6*time.Second)
+	c.kill()
+	w.must(c.wipe())
+	w.pause(time.Duration(op.r.IntN(1500)) * time.Millisecond)
+	w.sea.Cut(c.m, op.m)
+	w.sea.JoinAgain(c.m)
+	w.must(c.start())
+	over()
+}
--- a/internal/drydock/mutants_test.go
+++ b/internal/drydock/mutants_test.go
@@ -1,6 +1,7 @@
 package drydock
 
 import (
+	"net"
 	"strconv"
 	"strings"
 	"testing"
@@ -83,6 +84,23 @@
 		{"a backend that tells another service", day("quiet"), Flaw{Told: func(m *tugMachine) string { return "pump" }}, "ROUTE", "r-level"},
 		{"a mesh that does not come back", day("power"), Flaw{Stay: true}, "RECOVER", "served before"},
 		{"two disks of three lost after an acknowledgement", day("core-wipe"), Flaw{Wipes: 2}, "CONFIG", "read back"},
+		{"changes acknowledged before they are synced", day("power"), Flaw{Early: 100 * time.Millisecond}, "CONFIG", "read back"},
+		{"claims granted before they are synced", day("core-all-kill"), Flaw{Early: 200 * time.Millisecond}, "TWICE", "key"},
+		{"a member that grants with its disk lost", day("thin"), Flaw{Settings: func(s *articles.Settings) { s.Bootstrap = s.DataDir != "" }}, "TWICE", "key"},
+		{"a claim given back though its request may have run", change(day("lost-answers"), func(d *Day) { d.Keys = 0.5 }),
+			Flaw{Between: func(m *tugMachine, r *request, a *answer) *answer {
+				if key := r.get("Violetlatch-Operation-Key"); key != "" && (a.status == 502 || a.status == 504) {
+					m.giveBack(key)
+				}
+				return a
+			}}, "TWICE", "key"},
+		{"a change acknowledged on one voter's word", change(day("cut-wipe"), func(d *Day) {
+			d.Events = func(w *World, op *operator) { cutAndWipe(w, op, w.core[0]) }
+		}), Flaw{Settings: func(s *articles.Settings) {
+			if s.NodeName == "core-1" { // it knows of no other that counts
+				s.Seeds = []string{net.JoinHostPort(s.IP, portControl)}
+			}
+		}}, "CONFIG", "read back"},
 	} {
 		t.Run(m.name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/drydock/world.go
+++ b/internal/drydock/world.go
@@ -81,6 +81,7 @@
 	Stay     bool                                               // proxies that lost power do not come back
 	Abrupt   bool                                               // planned stops are none: the process is killed
 	Wipes    int                                                // so many core machines lose their disks where one may
+	Early    time.Duration                                      // disks answer so long before they have kept what they were given
 }
 
 // coreMachine keeps what must last.
@@ -99,6 +100,7 @@
 	lag  *rand.Rand   // of its disk
 	lagM sync.Mutex
 	gone chan struct{} // closed once the last life's disk is let go
+	kept []copied      // of its disk, for Flaw.Early
 }
 
 // tugMachine has a backend, a proxy and clients.
@@ -225,6 +227,7 @@
 // disk takes a disk's time for each commit of one process. What was not synced when that ended is lost.
 func (c *coreMachine) disk(of *sea.Process) func() error {
 	return func() error {
+		c.keep()
 		c.lagM.Lock()
 		d := 300*time.Microsecond + time.Duration(c.lag.ExpFloat64()*float64(time.Millisecond))
 		c.lagM.Unlock()
@@ -258,9 +261,10 @@
 	gone := make(chan struct{})
 	c.gone = gone
 	c.p.End()
-	pr := c.pr
+	pr, at := c.pr, c.w.now()
 	go func() {
 		pr.Stop(0)
+		c.lose(at)
 		close(gone)
 	}()
 }
