Hold: each call to the store fails once in its turn, amid groups of writes

The test of a failing disk failed calls at random, with one write in a group, and never a load. A call that fails only in one place of the sequence could slip through, and so could a group of which some are told what others are not.

TestEachCallFailsOnce takes the same steps again and again (groups of four writes, loads, moves of the log), and has another call of the store fail each time, with a sync's error and with that of a full disk: begin, put, commit with all of the transaction left in the log, rollback, moving the log, reading, opening again. Each write hears that it failed or stands; what a loss of power would leave at that moment, and what is there at the end, is what was told; and no other step fails. The store that fails is now shared by both tests.

--- a/internal/hold/hold_test.go
+++ b/internal/hold/hold_test.go
@@ -460,26 +460,23 @@
 // faulty is a store on a disk that fails.
 type faulty struct {
 	store
-	t    testing.TB
-	dir  string
-	rng  *rand.Rand
-	ill  bool
-	puts []Put
+	t     testing.TB
+	dir   string
+	fails func(oneIn int) error // the next call; nil: it does not
+	puts  []Put
 }
 
-func (f *faulty) fails() bool { return f.ill && f.rng.IntN(3) == 0 }
-
 func (f *faulty) begin() error {
 	f.puts = nil
-	if f.fails() {
-		return errSync
+	if err := f.fails(3); err != nil {
+		return err
 	}
 	return f.store.begin()
 }
 
 func (f *faulty) put(p *Put) error {
-	if f.ill && f.rng.IntN(20) == 0 {
-		return errSync
+	if err := f.fails(20); err != nil {
+		return err
 	}
 	f.puts = append(f.puts, *p)
 	return f.store.put(p)
@@ -487,7 +484,8 @@
 
 // commit fails as one does whose sync failed: all of the transaction, or a part, stands in the log.
 func (f *faulty) commit() error {
-	if !f.fails() {
+	failed := f.fails(3)
+	if failed == nil {
 		return f.store.commit()
 	}
 	if err := f.store.rollback(); err != nil {
@@ -513,61 +511,76 @@
 	if err := os.WriteFile(filepath.Join(f.dir, fileName+"-wal"), log, 0o600); err != nil {
 		f.t.Fatal(err)
 	}
-	return errSync
+	return failed
 }
 
 func (f *faulty) rollback() error {
-	if f.fails() {
-		return errSync // and the transaction stays open
+	if err := f.fails(3); err != nil {
+		return err // and the transaction stays open
 	}
 	return f.store.rollback()
 }
 
 func (f *faulty) checkpoint(move bool) (int, int, error) {
-	if move && f.fails() { // counting doesn't touch the disk
-		return 0, 0, errSync
+	if move { // counting doesn't touch the disk
+		if err := f.fails(3); err != nil {
+			return 0, 0, err
+		}
 	}
 	return f.store.checkpoint(move)
 }
 
+func (f *faulty) each(t Table, each func(key, value []byte) error) error {
+	if err := f.fails(3); err != nil {
+		return err
+	}
+	return f.store.each(t, each)
+}
+
+// on is a hold on such a disk, without its goroutine: the test takes its steps.
+func (f *faulty) on(t *testing.T) (h *Hold, opened *int) {
+	f.t, f.dir = t, t.TempDir()
+	o := Options{Dir: f.dir, MaxBytes: defaultMax, Log: func(string) {}}
+	db, _, err := begin(&o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, opened = newHold(o, f), new(int)
+	f.store = db
+	reopen := h.reopen
+	h.reopen = func() (store, error) {
+		if err := f.fails(2); err != nil {
+			return nil, err
+		}
+		s, err := reopen()
+		if err != nil {
+			return nil, err
+		}
+		*opened++
+		f.store = s
+		return f, nil
+	}
+	return h, opened
+}
+
 // The disk fails in all ways at random. Whenever the process stops, what is found is exactly what was told to be written.
 func TestFailingDisk(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(6) {
 		rng := rand.New(rand.NewPCG(seed, 11))
-		dir := t.TempDir()
-		o := Options{Dir: dir, MaxBytes: defaultMax, Log: func(string) {}}
-		db, _, err := begin(&o)
-		if err != nil {
-			t.Fatal(err)
-		}
-		h := newHold(o, nil)
 		ill := false
-		var f *faulty
-		between := func(s store) store {
-			f = &faulty{store: s, t: t, dir: dir, rng: rng, ill: ill}
-			return f
-		}
-		h.db = between(db)
-		reopen := h.reopen
-		reopens := 0
-		h.reopen = func() (store, error) {
-			if ill && rng.IntN(2) == 0 {
-				return nil, errSync
-			}
-			s, err := reopen()
-			if err != nil {
-				return nil, err
+		f := &faulty{fails: func(oneIn int) error {
+			if ill && rng.IntN(oneIn) == 0 {
+				return errSync
 			}
-			reopens++
-			return between(s), nil
-		}
+			return nil
+		}}
+		h, reopens := f.on(t)
 		want := state{}
 		failed := 0
 		// The steps of the goroutine, one at a time.
 		for i := range 60 {
 			ill = i%20 < 15
-			f.ill = ill
 			puts := somePuts(rng)
 			var answer error
 			h.write([]command{{puts: puts, done: func(err error) { answer = err }}})
@@ -583,18 +596,93 @@
 				failed++
 			}
 			if i%4 == 0 || answer != nil {
-				if s, start := read(t, dir).found(t); start != Whole || !maps.Equal(s, want) {
+				if s, start := read(t, f.dir).found(t); start != Whole || !maps.Equal(s, want) {
 					t.Fatalf("seed %d, %d: %v, %d rows, not %d", seed, i, start, len(s), len(want))
 				}
 			}
 		}
-		if failed == 0 || reopens == 0 {
-			t.Errorf("seed %d: %d failed, %d times opened again", seed, failed, reopens)
+		if failed == 0 || *reopens == 0 {
+			t.Errorf("seed %d: %d failed, %d times opened again", seed, failed, *reopens)
 		}
 		h.end()
 	}
 }
 
+// Each call to the store fails once in its turn, amid groups of writes. Each of a group hears of it, or that it stands; what is
+// found on the disk at that moment, and behind the end, is what was told; and nothing else fails for it.
+func TestEachCallFailsOnce(t *testing.T) {
+	t.Parallel()
+	errNoRoom := sqlite3.Error{Code: sqlite3.ErrFull, SystemErrno: syscall.ENOSPC}
+	for _, failure := range []error{errSync, errNoRoom} {
+		told := 0
+		for turn := 1; ; turn++ {
+			rng := rand.New(rand.NewPCG(7, 7)) // the same steps in each turn
+			calls := 0
+			f := &faulty{fails: func(int) error {
+				if calls++; calls == turn {
+					return failure
+				}
+				return nil
+			}}
+			h, _ := f.on(t)
+			want, troubled := state{}, 0
+			for step := range 6 {
+				before := calls
+				var group []command
+				var answers [4]error
+				for i := range answers {
+					group = append(group, command{puts: somePuts(rng), done: func(err error) { answers[i] = err }})
+				}
+				h.moveAt = 20 // the log is moved now and then
+				h.write(slices.Clone(group))
+				h.tidy()
+				for i, err := range answers {
+					if err == nil {
+						want = want.with(group[i].puts)
+					} else if told++; !errors.Is(err, wrap(failure)) && !errors.Is(err, ErrDisk) && !errors.Is(err, ErrFull) {
+						t.Error(err)
+					}
+				}
+				if hit := before < turn && turn <= calls; answers != [4]error{} && !hit {
+					t.Errorf("call %d: step %d fails on a disk that is well: %v", turn, step, answers)
+				} else if hit {
+					troubled++
+					if s, start := read(t, f.dir).found(t); start != Whole || !maps.Equal(s, want) {
+						t.Errorf("call %d, step %d, %v: %v, %d rows, not %d", turn, step, answers, start, len(s), len(want))
+					}
+				}
+				got := state{}
+				for table := range Table(3) {
+					before = calls
+					err := h.load(command{table: table, each: func(k, v []byte) error {
+						got[string(append([]byte{byte(table)}, k...))] = string(v)
+						return nil
+					}})
+					if hit := before < turn && turn <= calls; (err != nil) != hit {
+						t.Errorf("call %d: a load: %v", turn, err)
+					} else if hit {
+						got, troubled = want, troubled+1
+						break
+					}
+				}
+				if !maps.Equal(got, want) {
+					t.Errorf("call %d, step %d: %d rows loaded, not %d", turn, step, len(got), len(want))
+				}
+			}
+			h.end()
+			if s, start := read(t, f.dir).found(t); start != Whole || !maps.Equal(s, want) {
+				t.Errorf("call %d, behind the end: %v, %d rows, not %d", turn, start, len(s), len(want))
+			}
+			if calls < turn {
+				if troubled > 0 || told == 0 {
+					t.Errorf("%v: %d calls, of which %d were told as failed", failure, turn, told)
+				}
+				break
+			}
+		}
+	}
+}
+
 // hanging is a store whose commits wait.
 type hanging struct {
 	store
