Purser: a founding that its disk refused is begun again; each sync fails once in its turn

A purser whose very first write failed asked others who counts from then on. Where all of them had a full disk for that moment, no one knew, and the mesh did not begin before a restart, which is no first start any more. Now the next tick founds again: such a member has told nobody anything yet. The log has the disk's trouble once.

TestEachSyncFailsOnce takes one member through its founding, claims, two changes, a release and another's repair, and has another sync fail each time. Who waited for it hears so, no other call fails, and what was told stands on what the disk has at the end. TestDiskThatHangs: calls are refused at once while a commit hangs.

--- a/internal/purser/purser.go
+++ b/internal/purser/purser.go
@@ -100,8 +100,9 @@
 	watchers  []*watcher
 	mustering bool
 	opening   bool   // the disk is being opened
+	founding  bool   // the founding is on its way to disk
 	closed    bool   // the purser ends
-	trouble   string // why the disk could not be opened, as the log has it
+	trouble   string // why the disk could not be opened or took no founding, as the log has it
 }
 
 type watcher struct {
@@ -286,13 +287,17 @@
 			b.incs[i] = 1
 		}
 	}
+	b.founding = true
 	b.disk.Write([]hold.Put{b.putRoll(), b.putIncs()}, func(err error) {
 		b.p.later(func(b *books) {
+			b.founding = false
 			switch {
-			case err != nil:
-				b.p.o.Log("disk", err.Error())
+			case err != nil: // it was part of nothing yet: the next tick begins again
 				b.forget()
-				b.set(NoRoll)
+				if text := err.Error(); text != b.trouble {
+					b.trouble = text
+					b.p.o.Log("disk", text)
+				}
 			case b.me >= 0:
 				b.set(Serving)
 			default:
@@ -679,8 +684,11 @@
 func (b *books) tick() {
 	switch b.state {
 	case NoDisk:
-		if b.disk == nil { // else the founding is on its way there
+		switch {
+		case b.disk == nil:
 			b.open()
+		case !b.founding: // it failed
+			b.found()
 		}
 	case NoRoll, Repairing:
 		b.repair()
--- a/internal/purser/purser_test.go
+++ b/internal/purser/purser_test.go
@@ -442,3 +442,123 @@
 		t.Errorf("%s in the end", d.state)
 	}
 }
+
+// Each sync fails once in its turn. Who waited for it hears so, no other call fails, and what was told stands after a loss of
+// power at the end.
+func TestEachSyncFailsOnce(t *testing.T) {
+	ballots := []manifest.Ballot{{N: 1}, {N: 2}}
+	for turn := 1; ; turn++ {
+		d := newDesk(t, Options{Bootstrap: true, Found: voters})
+		syncs, failed := 0, 0
+		settle := func() {
+			for len(d.paper.waits)+len(d.later) > 0 {
+				d.catchUp()
+				if len(d.paper.waits) > 0 {
+					var err error
+					if syncs++; syncs == turn {
+						err = hold.ErrFull
+					}
+					d.paper.sync(err)
+				}
+			}
+		}
+		call := func(kind uint8, v, answer any) bool {
+			r := d.call(kind, v)
+			settle()
+			if r.n != 1 {
+				t.Fatalf("sync %d: %d answers", turn, r.n)
+			}
+			if r.err == nil {
+				return answer == nil || signal.Decode(r.body, answer) == nil
+			}
+			if failed++; plight.Of(r.err) != plight.DiskOut {
+				t.Errorf("sync %d: %v", turn, r.err)
+			}
+			return false
+		}
+		d.open()
+		settle()
+		if turn == 1 { // the founding: it is begun again, as there may be nobody who could tell who counts
+			if d.state != NoDisk || len(d.paper.rows) > 0 {
+				t.Errorf("%s, %d tables on disk", d.state, len(d.paper.rows))
+			}
+			d.tick()
+			settle()
+		}
+		granted := map[string]tally.ID{}
+		claim := func(key string, n uint64) {
+			var g tally.Grant
+			if call(codebook.Claim, codebook.ClaimCall{Key: key, ID: id(n), Epoch: 1}, &g) && g.Given {
+				granted[key] = id(n)
+			}
+		}
+		var promised, accepted manifest.Ballot
+		var inc uint64
+		change := func(b manifest.Ballot) {
+			var p ballot.Promise
+			if call(codebook.Prepare, codebook.PrepareCall{B: b, Epoch: 1}, &p) && p.Given {
+				promised = b
+			}
+			var a codebook.Accepted
+			i := manifest.Item{Key: manifest.Key{Kind: manifest.Limits}, Version: manifest.Version(b.N), Ballot: b, Spec: []byte("{}")}
+			if call(codebook.Accept, codebook.AcceptCall{B: b, Changes: []manifest.Item{i}, Epoch: 1}, &a) && a.Taken {
+				accepted = b
+			}
+			call(codebook.Learn, codebook.LearnCall{B: b}, nil)
+		}
+		claim("a", 1)
+		change(ballots[0])
+		claim("b", 2)
+		if call(codebook.Release, codebook.ReleaseCall{Key: "a", ID: id(1)}, nil) {
+			delete(granted, "a")
+		}
+		claim("a", 3)
+		var m codebook.Mustered
+		if call(codebook.Muster, codebook.MusterCall{Addr: "b:1", Inc: 2}, &m) {
+			inc = 2
+		}
+		change(ballots[1])
+		claim("b", 4)
+		again := newDesk(t, Options{})
+		again.paper, again.as = d.paper, hold.Whole
+		again.open()
+		if failed > 1 || again.state != Serving || again.acc.Promised.Less(promised) || again.acc.Accepted.Less(accepted) || again.incs[1] < inc {
+			t.Errorf("sync %d: %d calls failed; %s, promised %v, not %v, accepted %v, not %v, incarnations %v",
+				turn, failed, again.state, again.acc.Promised, promised, again.acc.Accepted, accepted, again.incs)
+		}
+		for key, holder := range granted {
+			r := again.call(codebook.Claim, codebook.ClaimCall{Key: key, ID: id(9), Epoch: 1})
+			again.settle()
+			if g := r.grant(t); g.Given || g.Holder != holder {
+				t.Errorf("sync %d: %q was granted to %v: %+v", turn, key, holder, g)
+			}
+		}
+		if syncs < turn {
+			if failed > 0 || len(granted) != 2 || inc != 2 || promised != ballots[1] || accepted != ballots[1] {
+				t.Errorf("on a disk that is well %d calls failed: %v, %v, %v", failed, granted, promised, accepted)
+			}
+			break
+		}
+	}
+}
+
+// While a commit hangs, calls are refused at once, and served again behind it.
+func TestDiskThatHangs(t *testing.T) {
+	d := founded(t)
+	for _, stall := range []time.Duration{stalledAfter + 1, 0} {
+		d.paper.stall = stall
+		for kind, v := range map[uint8]any{
+			codebook.Claim:   codebook.ClaimCall{Key: "k", ID: id(1), Epoch: 1},
+			codebook.Prepare: codebook.PrepareCall{B: manifest.Ballot{N: 1}, Epoch: 1},
+			codebook.Accept:  codebook.AcceptCall{B: manifest.Ballot{N: 1}, Epoch: 1},
+		} {
+			r := d.call(kind, v)
+			if stall > 0 && (r.n != 1 || plight.Of(r.err) != plight.DiskOut || len(d.paper.waits) > 0) {
+				t.Errorf("kind %d: %d answers, %v", kind, r.n, r.err)
+			}
+			if d.settle(); stall == 0 && (r.n != 1 || r.err != nil) {
+				t.Errorf("kind %d behind it: %d answers, %v", kind, r.n, r.err)
+			}
+		}
+	}
+}
