Gate: what waits is turned away when its backend drains or a new life comes

A request that waited at a gate was let in at the next free place, also behind a beat that told draining, or when another life had taken the backend's place. The first could reach a backend later than drain-s on routes with a target of more than 8 s, as a request waits for up to 0.3 of that; the second was sent for nothing, answered 421, and counts among the further arrivals of the budget. Both waited on at a backend that may take no more, while others were free.

Now a beat of draining, and one of a new life, turn out what waits, as a backend's end has done: it goes on to another backend, and counts as no arrival. TestPlaces has all three ways; seen to fail in the two.

--- a/internal/gangway/gate.go
+++ b/internal/gangway/gate.go
@@ -159,11 +159,15 @@
 	if !same && g.berth.Instance != "" {
 		g.pool.Retire(g.berth.Instance)
 		g.bury(g.berth.Instance)
+		g.turnOut() // what waits is meant for that life
 	}
 	g.change(func(b *berths.Berth) {
 		b.Instance, b.Service, b.Release, b.Capacity, b.State = p.ID, p.Service, p.Release, p.Capacity, p.State
 	})
 	g.o.Log("backend", fmt.Sprintf("%s of %s: %s, capacity %d", p.ID, p.Service, p.State, p.Capacity))
+	if p.State != berths.Serving { // nothing more is sent to one that leaves, what came before included
+		g.turnOut()
+	}
 	g.admit()
 	return nil
 }
--- a/internal/gangway/gate_test.go
+++ b/internal/gangway/gate_test.go
@@ -1,6 +1,7 @@
 package gangway
 
 import (
+	"fmt"
 	"runtime"
 	"testing"
 	"testing/synctest"
@@ -55,7 +56,7 @@
 }
 
 // A request gets a place only at the life that was meant, and while that serves; what waits is let in by rank, or turned away
-// when the backend leaves.
+// when the backend leaves, by whatever way, also if a place is free in that moment.
 func TestPlaces(t *testing.T) {
 	g := gateOf(t)
 	g.Beat(pilot.Beat{ID: "i-1", Service: "ledger", Capacity: 1, Count: 1, State: berths.Serving})
@@ -80,16 +81,32 @@
 	if k := <-got; k != plight.OK {
 		t.Errorf("one that waited: %v", k)
 	}
-	go func() { got <- g.enter(a("i-1", 1, 60_000)) }()
-	for _, waiting := g.load(); waiting == 0; _, waiting = g.load() {
-		runtime.Gosched()
-	}
-	g.Leave("i-1")
-	if k := <-got; k != plight.Leaving {
-		t.Errorf("one that waited when the backend left: %v", k)
-	}
-	if k := g.enter(a("i-1", 0, 0)); k != plight.Leaving {
-		t.Errorf("behind its end: %v", k)
+	for n, end := range []func(id string){
+		func(id string) { g.Leave(id) },
+		func(id string) {
+			g.Beat(pilot.Beat{ID: id, Service: "ledger", Capacity: 1, Count: 2, State: berths.Draining})
+		},
+		func(string) {
+			g.Beat(pilot.Beat{ID: "i-9", Service: "ledger", Capacity: 1, Count: 1, State: berths.Serving})
+		},
+	} {
+		id := fmt.Sprint("i-", n+1)
+		g.Beat(pilot.Beat{ID: id, Service: "ledger", Capacity: 1, Count: 1, State: berths.Serving})
+		go func() { got <- g.enter(a(id, 1, 60_000)) }()
+		for _, waiting := g.load(); waiting == 0; _, waiting = g.load() {
+			runtime.Gosched()
+		}
+		end(id)
+		g.exit()
+		if k := <-got; k != plight.Leaving {
+			t.Errorf("one that waited when the backend left, way %d: %v", n, k)
+		}
+		if k := g.enter(a(id, 0, 0)); k == plight.OK {
+			t.Errorf("behind its end, way %d: %v", n, k)
+		}
+		g.mu.Lock()
+		g.running = 1 // as before
+		g.mu.Unlock()
 	}
 }
 
