Drydock: runs make calls of their own through the mesh

A backend's run may call another service through its own machine's proxy: ids of its own, no key, until its parent's deadline; a run answers 500, or 504 at the deadline, when its call fails, and calls again when it runs again. The surveyor counts each arrival of a repeated run's call as repeated at the called service, and no call as a request.

--- a/internal/drydock/backend.go
+++ b/internal/drydock/backend.go
@@ -248,6 +248,7 @@
 		took += 150 * time.Millisecond
 	}
 	time.Sleep(took)
+	failed := b.calls(run, r.Header.Get("Violetlatch-Deadline-Remaining"))
 	run.End = w.now()
 	select {
 	case <-b.ended:
@@ -273,6 +274,9 @@
 	if fault -= f.Fail; fault < 0 {
 		run.Status = 500
 	}
+	if failed != 0 {
+		run.Status = failed
+	}
 	head := fmt.Sprintf("HTTP/1.1 %d Answer\r\nVioletlatch-Attempt-Id: %s\r\nVioletlatch-Server-Seal: %s\r\nKeep-Alive: timeout=5\r\n", run.Status, run.ID, run.Seal)
 	msg := []byte(head)
 	chunked := b.float() < 0.1
--- a/internal/drydock/day.go
+++ b/internal/drydock/day.go
@@ -25,6 +25,7 @@
 	Again  time.Duration                `json:"again_ns,omitempty"` // within which keys come again; 0: 1.5 s
 	Large  float64                      `json:"large,omitempty"`    // part of the bodies that go on as they come
 	Rude   float64                      `json:"rude,omitempty"`     // part of the tries that end in the middle of their body
+	Calls  float64                      `json:"calls,omitempty"`    // part of the runs that make a call of their own
 	Events func(w *World, op *operator) `json:"-"`
 
 	Without []string `json:"without,omitempty"` // what is left out, by the keys of what a play did (Step)
@@ -83,6 +84,7 @@
 		}
 		w.until(clientsFrom)
 		w.again, w.keys, w.work, w.large, w.rude = cmp.Or(d.Again, 1500*time.Millisecond), d.Keys, max(d.Work, 1), d.Large, d.Rude
+		w.inner = d.Calls
 		for _, r := range routes {
 			w.shut = append(w.shut, w.leaves("requests to "+r.name, r.kind))
 		}
--- a/internal/drydock/days.go
+++ b/internal/drydock/days.go
@@ -33,6 +33,7 @@
 	{Name: "crash", Floor: 0.95, Length: 11 * time.Second, Events: crash},
 	{Name: "lost-answers", Floor: 0.65, Length: 11 * time.Second, Faults: Faults{Lose: 0.05, Cut: 0.05, Late: 0.05, Full: 0.05, Fail: 0.03}},
 	{Name: "failing", Floor: 0.2, Length: 13 * time.Second, Faults: Faults{Fail: 0.5, Lose: 0.1, Full: 0.1}},
+	{Name: "calls", Floor: 0.8, Length: 13 * time.Second, Calls: 0.5, Faults: Faults{Lose: 0.02, Fail: 0.02, Full: 0.02}, Events: crash},
 	{Name: "keys", Floor: 0.7, Length: 11 * time.Second, Keys: 0.6, Faults: Faults{Lose: 0.01}, Events: sideKill},
 	{Name: "large", Floor: 0.6, Length: 8 * time.Second, Large: 0.3, Rude: 0.1, Faults: Faults{Lose: 0.02, Cut: 0.05, Late: 0.05, Full: 0.1}, Events: sideKill},
 	{Name: "wipe-kill", Floor: 0.8, Length: 13 * time.Second, Keys: 0.4, Events: wipeKill},
--- a/internal/drydock/hunt.go
+++ b/internal/drydock/hunt.go
@@ -165,8 +165,8 @@
 // Smallest tells a small day: its settings, what is left of its steps, and the breach.
 func (o Outcome) Smallest(rule string) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "  %s/%d, %.1f s of clients, %g requests a second at each machine, work %g, keys %g, large %g, rude %g\n", o.Name, o.Seed,
-		o.Length.Seconds(), cmp.Or(o.Rate, rate), max(o.Work, 1), o.Keys, o.Large, o.Rude)
+	fmt.Fprintf(&b, "  %s/%d, %.1f s of clients, %g requests a second at each machine, work %g, keys %g, large %g, rude %g, calls %g\n", o.Name, o.Seed,
+		o.Length.Seconds(), cmp.Or(o.Rate, rate), max(o.Work, 1), o.Keys, o.Large, o.Rude, o.Calls)
 	fmt.Fprintf(&b, "  faults of backends: %+v\n", o.Faults)
 	for _, s := range o.Steps {
 		if !s.Left {
--- a/internal/drydock/people.go
+++ b/internal/drydock/people.go
@@ -115,6 +115,16 @@
 	to   route
 	key  string
 	req  request
+	of   *surveyor.Run // the run that makes it as a call; nil: a client's
+	on   *sea.Process  // what makes it; nil: the clients of the machine
+}
+
+// from is the process that makes it.
+func (o *operation) from(m *tugMachine) *sea.Process {
+	if o.on != nil {
+		return o.on
+	}
+	return m.crowd()
 }
 
 func (o *operation) play() {
@@ -180,7 +190,7 @@
 	hasty := o.r.IntN(8) == 0
 	for try := range 4 {
 		left := end - w.now()
-		if left < 5*time.Millisecond || m.crowd().Ended() {
+		if left < 5*time.Millisecond || o.from(m).Ended() {
 			break
 		}
 		t, after := o.try(m, end, keep && try == 0)
@@ -211,7 +221,7 @@
 func (o *operation) try(m *tugMachine, end time.Duration, keep bool) (t *surveyor.Try, after time.Duration) {
 	w := m.w
 	left := end - w.now()
-	on := m.crowd()
+	on := o.from(m)
 	id := fmt.Sprintf("%016x", o.r.Uint64())
 	req := o.req
 	req.header = [][2]string{{"Violetlatch-Attempt-Id", id}, {"Violetlatch-Deadline-Remaining", strconv.Itoa(int(left.Milliseconds()))}}
@@ -226,7 +236,7 @@
 	}
 	limit := min(end, w.now()+time.Duration(o.to.deadline*float64(time.Second)))
 	t = &surveyor.Try{ID: id, Key: o.key, Machine: m.name, Caller: m.service, Host: host, Path: req.path, Method: req.method,
-		Body: sum(req.body), Kind: o.to.kind, Sent: w.now(), Deadline: limit}
+		Body: sum(req.body), Kind: o.to.kind, Sent: w.now(), Deadline: limit, Of: o.of}
 	w.log.AddTry(t)
 	a := o.exchange(m, &req, t, end, keep)
 	if w.flaw.Between != nil && a != nil {
@@ -257,7 +267,7 @@
 	c, extra := p.take(keep)
 	t.Extra = extra
 	if c == nil {
-		nc, err := dialFor(m.crowd(), net.JoinHostPort(m.m.IP, portOut), min(time.Second, end-w.now()))
+		nc, err := dialFor(o.from(m), net.JoinHostPort(m.m.IP, portOut), min(time.Second, end-w.now()))
 		if err != nil {
 			t.GaveUp = isLate(err)
 			return nil
--- a/internal/drydock/shrink.go
+++ b/internal/drydock/shrink.go
@@ -63,6 +63,7 @@
 			{"no more keys", func(v *Variant) *float64 { return &v.Keys }},
 			{"no large bodies", func(v *Variant) *float64 { return &v.Large }},
 			{"no rude clients", func(v *Variant) *float64 { return &v.Rude }},
+			{"no calls of runs", func(v *Variant) *float64 { return &v.Calls }},
 			{"usual work", func(v *Variant) *float64 { return &v.Work }},
 		} {
 			if *x.of(&small.Variant) != 0 {
--- a/internal/drydock/surveyor/judge.go
+++ b/internal/drydock/surveyor/judge.go
@@ -440,20 +440,30 @@
 // budget: further arrivals stay within the ration, in every window.
 func (j *judge) budget() {
 	type event struct {
-		at            time.Duration
-		first, repeat int
+		at                  time.Duration
+		first, repeat, call int
 	}
 	of := map[string][]event{}
 	seen := map[string]bool{}
+	again := map[*Run]bool{} // what its calls bring is repeated with it
 	all := slices.Clone(j.Runs)
 	sort.SliceStable(all, func(a, b int) bool { return all[a].At < all[b].At })
 	for _, r := range all {
-		if seen[r.ID] {
+		t := j.byID[r.ID]
+		called := t != nil && t.Of != nil && again[t.Of]
+		switch {
+		case called:
+			of[r.Service] = append(of[r.Service], event{at: r.At, repeat: 1, call: 1})
+		case seen[r.ID]:
 			of[r.Service] = append(of[r.Service], event{at: r.At, repeat: 1})
 		}
+		again[r] = seen[r.ID] || called
 		seen[r.ID] = true
 	}
 	for _, t := range j.Tries {
+		if t.Of != nil {
+			continue // requests are what clients send
+		}
 		if _, vs := j.routeOf(t.Host, t.Path); vs != nil {
 			named := map[string]bool{}
 			for _, v := range vs {
@@ -468,10 +478,10 @@
 	}
 	for service, es := range of {
 		sort.SliceStable(es, func(a, b int) bool { return es[a].at < es[b].at })
-		count := func(from, to time.Duration) (first, repeat int) {
+		count := func(from, to time.Duration) (first, repeat, call int) {
 			for _, e := range es {
 				if e.at > from && e.at <= to {
-					first, repeat = first+e.first, repeat+e.repeat
+					first, repeat, call = first+e.first, repeat+e.repeat, call+e.call
 				}
 			}
 			return
@@ -481,14 +491,14 @@
 			if e.repeat == 0 {
 				continue
 			}
-			first, repeat := count(e.at-w, e.at)
+			first, repeat, call := count(e.at-w, e.at)
 			if float64(repeat) <= j.Bounds.Allowance {
 				continue
 			}
-			half, _ := count(e.at-w-w/2, e.at-w/2)
-			before, _ := count(e.at-2*w, e.at-w)
+			half, _, _ := count(e.at-w-w/2, e.at-w/2)
+			before, _, _ := count(e.at-2*w, e.at-w)
 			if most := j.Bounds.Ratio*float64(max(first, half, before)) + j.Bounds.Allowance; float64(repeat) > most {
-				j.breaks("BUDGET", e.at, fmt.Sprintf("%s: %d further arrivals in %v, %.0f at most (%d requests)", service, repeat, w, most, first))
+				j.breaks("BUDGET", e.at, fmt.Sprintf("%s: %d further arrivals in %v (%d by calls of repeated runs), %.0f at most (%d requests)", service, repeat, w, call, most, first))
 				break
 			}
 		}
--- a/internal/drydock/surveyor/log.go
+++ b/internal/drydock/surveyor/log.go
@@ -33,6 +33,7 @@
 	GaveUp           bool          // the client did not wait any longer
 	Rude             bool          // the client broke off in the middle of its body
 	Direct           bool          // it only looks which configuration is in force
+	Of               *Run          // the run that made it as a call; nil: a client's
 }
 
 // Run is one request that arrived at a backend.
--- a/internal/drydock/world.go
+++ b/internal/drydock/world.go
@@ -48,6 +48,7 @@
 	work  float64
 	large float64
 	rude  float64
+	inner float64 // part of the runs that make a call
 	flaw  Flaw
 	fault Faults
 
