Check: the mesh's programs read no time of day, and no daemon links testing

Whether a stepped time of day could hurt was looked at by hand only. check.sh now looks for reads of it in all packages of tug, harbourmaster and purser.

--- a/check.sh
+++ b/check.sh
@@ -11,6 +11,17 @@
 fi
 go vet ./...
 go tool staticcheck ./...
+# The mesh's programs decide by clocks that no step of the time of day moves, so drydock needs none that do: nothing of theirs
+# reads the time of day (lookout shows it, and decides nothing). And testing, that latchkit's drydock plays by, is in no daemon.
+rooms=$(go list -f '{{range .GoFiles}}{{$.Dir}}/{{.}} {{end}}' $(go list -deps ./cmd/tug ./cmd/harbourmaster ./cmd/purser | grep '^saltmast/'))
+if grep -nE '\.(Unix|UnixNano|UnixMilli|UnixMicro|UTC|Local|Format|AppendFormat|Weekday)\(|time\.(Unix|UnixMilli|UnixMicro|Date|Parse|ParseInLocation|LoadLocation)\b|CURRENT_TIME|strftime|ClockGettime' $rooms; then
+	echo "the mesh's programs: the time of day is read" >&2
+	exit 1
+fi
+if go list -deps ./cmd/violetlatch ./cmd/tug ./cmd/harbourmaster ./cmd/purser ./cmd/lookout | grep -x testing; then
+	echo "a daemon links testing" >&2
+	exit 1
+fi
 # The whole spaces of claims and ballots, all of drydock's days and its flawed worlds go without the race detector: it plays a few
 # of the days below.
 go test -count=1 . ./internal/ballot ./internal/tally ./internal/drydock
--- a/internal/gangway/front.go
+++ b/internal/gangway/front.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -354,7 +355,7 @@
 			wait = min(max(wait, left/outLeft), aim)
 		}
 	}
-	return max(10*time.Millisecond, wait+time.Duration(v.came.UnixNano()%int64(spread+1)))
+	return max(10*time.Millisecond, wait+rand.N(spread+1))
 }
 
 const (
