Drydock: lost packets, narrow links, frozen disks, and a turnover of seeds

A machine's link can lose packets (a datagram is gone; a connection waits for a round trip or a time-out) or be narrow (bytes wait one behind the other; datagrams that would wait over half a second are gone). A frozen machine commits nothing to disk.

--- a/internal/drydock/days.go
+++ b/internal/drydock/days.go
@@ -38,10 +38,13 @@
 	{Name: "large", Floor: 0.6, Length: 8 * time.Second, Large: 0.3, Rude: 0.1, Faults: Faults{Lose: 0.02, Cut: 0.05, Late: 0.05, Full: 0.1}, Events: sideKill},
 	{Name: "wipe-kill", Floor: 0.8, Length: 13 * time.Second, Keys: 0.4, Events: wipeKill},
 	{Name: "thin", Floor: 0.8, Length: 17 * time.Second, Keys: 0.5, Again: 9 * time.Second, Events: thin},
+	{Name: "lossy", Floor: 0.9, Length: 13 * time.Second, Keys: 0.3, Events: lossy},
+	{Name: "narrow", Floor: 0.5, Length: 13 * time.Second, Rate: 20, Keys: 0.2, Large: 0.2, Events: narrow},
 	{Name: "disk", Floor: 0.6, Length: 12 * time.Second, Keys: 0.3, Events: disk},
 	{Name: "crowded", Floor: 0.12, Length: 8 * time.Second, Rate: 80, Work: 8},
 	{Name: "storm", Floor: 0.35, Length: 18 * time.Second, Keys: 0.3, Faults: Faults{Lose: 0.01, Cut: 0.01, Late: 0.01, Full: 0.02, Fail: 0.01}, Events: storm},
 	{Name: "links", Floor: 0.9, Length: 14 * time.Second, Keys: 0.3, Events: links},
+	{Name: "seeds", Floor: 0.95, Length: 16 * time.Second, Keys: 0.3, Events: seedsTurn},
 }
 
 // DayNamed is the kind of day of that name.
@@ -439,11 +442,19 @@
 				break
 			}
 			busy[m] = true
-			kind := r.IntN(6)
-			what := []string{"kill", "cut", "power", "freeze", "crash", "slow"}[kind]
+			kind := r.IntN(8)
+			what := []string{"kill", "cut", "power", "freeze", "crash", "slow", "lossy", "narrow"}[kind]
 			begin(what+" "+m.name, 0, func() {
 				over := w.trouble(what, m.name, false)
 				switch kind {
+				case 7:
+					w.sea.Narrow(m.m, 200_000)
+					time.Sleep(took)
+					w.sea.Narrow(m.m, 0)
+				case 6:
+					w.sea.Lossy(m.m, 0.05)
+					time.Sleep(took)
+					w.sea.Lossy(m.m, 0)
 				case 5:
 					w.sea.Slow(m.m, 200*time.Millisecond)
 					time.Sleep(took)
--- a/internal/drydock/sea/conn.go
+++ b/internal/drydock/sea/conn.go
@@ -56,12 +56,13 @@
 	c.note = make(chan struct{})
 }
 
-// arrival is when something sent now to this end arrives: in order, and not while its path is cut.
-func (c *Conn) arrival() time.Time {
+// arrival is when n bytes sent now to this end arrive: in order, and not while its path is cut.
+func (c *Conn) arrival(n int) time.Time {
 	if !c.sea().open(c.p.m, c.peerM) {
 		return never
 	}
-	at := time.Now().Add(c.trip())
+	s := c.sea()
+	at := time.Now().Add(s.passage(c.peerM, c.p.m, n) + s.repair(c.peerM, c.p.m, n))
 	if at.Before(c.in.last) {
 		at = c.in.last
 	}
@@ -219,7 +220,7 @@
 			}
 			if room := window - p.in.size; room > 0 {
 				k := min(room, len(b)-done)
-				at := p.arrival()
+				at := p.arrival(k)
 				p.in.segs = append(p.in.segs, seg{at, append([]byte(nil), b[done:done+k]...)})
 				p.in.size += k
 				done += k
@@ -326,7 +327,7 @@
 	c.closed = true
 	if p := c.peer; !p.in.rst && !p.gone {
 		p.lose()
-		p.in.rst, p.in.rstAt = true, p.arrival()
+		p.in.rst, p.in.rstAt = true, p.arrival(0)
 		p.wake()
 	}
 	c.forget()
@@ -353,7 +354,7 @@
 	c.wrote = true
 	p := c.peer
 	if !p.in.fin {
-		p.in.fin, p.in.finAt = true, p.arrival()
+		p.in.fin, p.in.finAt = true, p.arrival(0)
 		p.wake()
 	}
 }
--- a/internal/drydock/sea/packet.go
+++ b/internal/drydock/sea/packet.go
@@ -99,7 +99,7 @@
 	}
 }
 
-// WriteTo implements net.PacketConn. What finds its path cut, its reader away or its place full is lost.
+// WriteTo implements net.PacketConn. What finds its path cut or too long a queue, its reader away or its place full is lost.
 func (x *packets) WriteTo(b []byte, to net.Addr) (int, error) {
 	s := x.p.m.s
 	for {
@@ -128,7 +128,11 @@
 	if y == nil || len(y.in) >= mostPackets {
 		return len(b), nil
 	}
-	at := time.Now().Add(s.latency(x.p.m, m))
+	takes := s.passage(x.p.m, m, len(b))
+	if s.lost(x.p.m, m) || takes > queues+s.latency(x.p.m, m) {
+		return len(b), nil
+	}
+	at := time.Now().Add(takes)
 	i := len(y.in)
 	for i > 0 && y.in[i-1].at.After(at) {
 		i--
--- a/internal/drydock/sea/sea.go
+++ b/internal/drydock/sea/sea.go
@@ -26,6 +26,10 @@
 	lat      map[[2]string]time.Duration
 	cuts     map[[2]string]int
 	slow     map[string]time.Duration // by IP, one way
+	loss     map[string]float64       // by IP, part of the packets
+	width    map[string]float64       // by IP, bytes a second each way; 0: any number
+	up, down map[string]time.Time     // by IP: until when its link is busy
+	luck     *rand.Rand               // which packets are lost
 	conns    map[*Conn]bool
 	change   chan struct{} // closed with each change of paths
 	nextPort int
@@ -34,7 +38,8 @@
 // New returns an empty network whose latencies are drawn by a seed.
 func New(seed uint64) *Sea {
 	return &Sea{rand: rand.New(rand.NewPCG(seed, 77)), machines: map[string]*Machine{}, lat: map[[2]string]time.Duration{},
-		cuts: map[[2]string]int{}, slow: map[string]time.Duration{}, conns: map[*Conn]bool{}, change: make(chan struct{}), nextPort: 32768}
+		cuts: map[[2]string]int{}, slow: map[string]time.Duration{}, loss: map[string]float64{}, width: map[string]float64{},
+		up: map[string]time.Time{}, down: map[string]time.Time{}, luck: rand.New(rand.NewPCG(seed, 78)), conns: map[*Conn]bool{}, change: make(chan struct{}), nextPort: 32768}
 }
 
 // Machine is one address on the network.
@@ -65,6 +70,8 @@
 	resend    = 200 * time.Millisecond // after which what was lost on a cut path is sent again, once it is whole
 	synResend = time.Second
 	backlog   = 128
+	segment   = 1400 // bytes in a packet
+	overhead  = 60   // of a packet
 )
 
 // Machine adds a machine.
@@ -106,6 +113,72 @@
 	s.slow[m.IP] = d
 }
 
+// Lossy has a part of the packets from and to a machine be lost; 0: none.
+func (s *Sea) Lossy(m *Machine, part float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loss[m.IP] = part
+}
+
+// Narrow bounds the bytes a second that pass from a machine, and to it; 0: no bound. What is beyond waits its turn.
+func (s *Sea) Narrow(m *Machine, width float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.width[m.IP] = width
+	if width == 0 {
+		delete(s.up, m.IP)
+		delete(s.down, m.IP)
+	}
+}
+
+// queues is how long a link holds what it has no room for; datagrams beyond that are lost.
+const queues = 500 * time.Millisecond
+
+// passage is how long n bytes take from a to b, links' queues included. The caller holds s.mu.
+func (s *Sea) passage(a, b *Machine, n int) time.Duration {
+	now := time.Now()
+	at := now
+	if a != b {
+		turn := func(busy map[string]time.Time, ip string) {
+			if w := s.width[ip]; w > 0 {
+				if busy[ip].After(at) {
+					at = busy[ip]
+				}
+				at = at.Add(time.Duration(float64(n+overhead) / w * float64(time.Second)))
+				busy[ip] = at
+			}
+		}
+		turn(s.up, a.IP)
+		turn(s.down, b.IP)
+	}
+	return at.Sub(now) + s.latency(a, b)
+}
+
+// lost draws whether a packet from a to b is. The caller holds s.mu.
+func (s *Sea) lost(a, b *Machine) bool {
+	x, y := s.loss[a.IP], s.loss[b.IP]
+	return a != b && x+y > 0 && s.luck.Float64() < 1-(1-x)*(1-y)
+}
+
+// repair is how long the lost ones of n bytes' packets hold them up: the last few until a time-out, which doubles, and others until
+// those behind them tell. The caller holds s.mu.
+func (s *Sea) repair(a, b *Machine, n int) (d time.Duration) {
+	if a == b || s.loss[a.IP]+s.loss[b.IP] == 0 {
+		return 0
+	}
+	packets := n/segment + 1
+	for i := range packets {
+		for wait := resend; s.lost(a, b); wait *= 2 {
+			if i < packets-3 {
+				d = max(d, 2*s.latency(a, b))
+				break
+			}
+			d += wait
+		}
+	}
+	return d
+}
+
 // open reports whether bytes pass between two machines. The caller holds s.mu.
 func (s *Sea) open(a, b *Machine) bool {
 	return !a.off && !b.off && (a == b || s.cuts[pair(a.IP, b.IP)] == 0)
@@ -209,8 +282,15 @@
 	s.changed()
 }
 
-// Freeze holds what the machine's processes read and write, while its network goes on to take bytes for them. Their clocks run
-// on, which those of frozen processes would not.
+// Frozen reports whether it is.
+func (m *Machine) Frozen() bool {
+	m.s.mu.Lock()
+	defer m.s.mu.Unlock()
+	return m.frozen
+}
+
+// Freeze holds what the machine's processes read and write, while its network goes on to take bytes for them. Their timers fire
+// all the same: a bubble has one clock. Those of a frozen process would fire all at once when it goes on.
 func (m *Machine) Freeze(yes bool) {
 	s := m.s
 	s.mu.Lock()
@@ -448,6 +528,13 @@
 			return fail(err)
 		}
 		s.mu.Lock()
+		if s.lost(p.m, to) || s.lost(to, p.m) { // it, or the answer to it
+			s.mu.Unlock()
+			if err := wait(synResend); err != nil {
+				return fail(err)
+			}
+			continue
+		}
 		if !s.open(p.m, to) || p.ended {
 			s.mu.Unlock()
 			continue
--- a/internal/drydock/sea/sea_test.go
+++ b/internal/drydock/sea/sea_test.go
@@ -38,6 +38,19 @@
 	return e
 }
 
+// packets are sockets for datagrams at a and at b.
+func (e *ends) packets(t *testing.T) (at, to net.PacketConn) {
+	t.Helper()
+	at, err := e.p.ListenPacket("10.0.0.1:81")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if to, err = e.q.ListenPacket("10.0.0.2:81"); err != nil {
+		t.Fatal(err)
+	}
+	return at, to
+}
+
 func read(c net.Conn) (string, error) {
 	b := make([]byte, 100)
 	n, err := c.Read(b)
@@ -147,6 +160,56 @@
 				t.Error("it listens")
 			}
 		},
+		"a narrow link passes bytes one behind the other, and drops datagrams that would wait long": func(t *testing.T) {
+			e := connect(t, 0)
+			e.s.Narrow(e.b, 10_000)
+			begun := time.Now()
+			e.x.Write(make([]byte, 5_000-overhead))
+			e.x.Write(make([]byte, 5_000-overhead))
+			out, in := e.packets(t)
+			out.WriteTo([]byte("lost"), in.LocalAddr())
+			for n := 0; n < 10_000-2*overhead; {
+				k, err := e.y.Read(make([]byte, 20_000))
+				if n += k; err != nil {
+					t.Fatal(err)
+				}
+			}
+			if took := time.Since(begun); took < time.Second || took > time.Second+crossHigh {
+				t.Error(took)
+			}
+			out.WriteTo([]byte("there"), in.LocalAddr())
+			b := make([]byte, 10)
+			if n, _, err := in.ReadFrom(b); err != nil || string(b[:n]) != "there" {
+				t.Error(string(b[:n]), err)
+			}
+		},
+		"lost packets are sent again, in order, and lost datagrams are not": func(t *testing.T) {
+			e := connect(t, 0)
+			out, in := e.packets(t)
+			e.s.Lossy(e.a, 0.3)
+			begun := time.Now()
+			for i := range 100 {
+				out.WriteTo([]byte{byte(i)}, in.LocalAddr())
+				e.x.Write([]byte{byte(i)})
+			}
+			for i := range 100 {
+				b := []byte{0}
+				if _, err := io.ReadFull(e.y, b); err != nil || b[0] != byte(i) {
+					t.Fatal(i, b, err)
+				}
+			}
+			if took := time.Since(begun); took < resend {
+				t.Error("nothing was late:", took)
+			}
+			in.SetReadDeadline(time.Now().Add(time.Second))
+			came := 0
+			for _, _, err := in.ReadFrom(make([]byte, 10)); err == nil; _, _, err = in.ReadFrom(make([]byte, 10)) {
+				came++
+			}
+			if came < 50 || came > 90 {
+				t.Error(came, "datagrams came")
+			}
+		},
 		"a frozen machine reads when it goes on": func(t *testing.T) {
 			e := connect(t, time.Second)
 			e.b.Freeze(true)
--- a/internal/drydock/world.go
+++ b/internal/drydock/world.go
@@ -107,6 +107,8 @@
 	lagM sync.Mutex
 	gone chan struct{} // closed once the last life's disk is let go
 	kept []copied      // of its disk, for Flaw.Early
+	seed []string      // in its settings file; nil: all of the core
+	set  *articles.Settings
 }
 
 // tugMachine has a backend, a proxy and clients.
@@ -123,6 +125,8 @@
 	people  *sea.Process // clients and platform: they end with the machine's power alone
 	backend *backend
 	lives   int
+	seed    []string // in its settings file; nil: all of the core
+	set     *articles.Settings
 	in      bool // the platform lets clients come
 	closed  bool // it leaves
 }
@@ -207,7 +211,11 @@
 	c.boot = false
 	s.DataDir, s.DiskMB = c.dir, 64
 	s.Listen["control-plane"] = net.JoinHostPort(c.m.IP, portControl)
+	if c.seed != nil {
+		s.Seeds = c.seed
+	}
 	c.w.spoil(s)
+	c.set = s
 	var err error
 	if !c.runs {
 		c.p, c.runs = c.m.Start(), true
@@ -238,7 +246,7 @@
 		d := 300*time.Microsecond + time.Duration(c.lag.ExpFloat64()*float64(time.Millisecond))
 		c.lagM.Unlock()
 		time.Sleep(d)
-		for c.ill.Load() == diskHangs && !of.Ended() {
+		for (c.ill.Load() == diskHangs || c.m.Frozen()) && !of.Ended() {
 			time.Sleep(5 * time.Millisecond)
 		}
 		switch {
@@ -297,7 +305,11 @@
 	for name, port := range map[string]string{"outbound": portOut, "readiness": portReady, "control-plane": portControl} {
 		s.Listen[name] = net.JoinHostPort(m.m.IP, port)
 	}
+	if m.seed != nil {
+		s.Seeds = m.seed
+	}
 	m.w.spoil(s)
+	m.set = s
 	m.proc = m.m.Start()
 	var err error
 	m.tug, err = tug.Start(s, m.w.note(m.name+" tug"), m.proc)
