Roster: a name stays with the first who has it, where the caller wants that

Need: agents that share state keep the first of two processes under one name and refuse the second, until the first is held dead. The roster gave the name to the newer life at once, wherever it was.

Options.FirstKeeps: a newer life at another address is not taken up while the first one is live; a Change with Refused tells of it, once a period for each name, and Counts.Conflicts counts it. Who hears of a live other life of its own name claims no generation. At the same address a new life has the name at once, as before.

--- a/internal/roster/news_test.go
+++ b/internal/roster/news_test.go
@@ -122,6 +122,62 @@
 	}
 }
 
+// TestFirstKeeps: where the first one keeps its name, a second one at another address is told of and not taken up; it has the
+// name once the first one is held dead. A new life at the old address has it at once.
+func TestFirstKeeps(t *testing.T) {
+	t.Parallel()
+	const n = 15
+	for seed := range int64(4) {
+		w := newWorld(seed, n, 0.05)
+		w.o.FirstKeeps = true
+		w.mustAgree(t, 15*time.Second, "start")
+		w.alias = map[int]int{n: 9}
+		w.nodes = append(w.nodes, &node{i: n})
+		w.start(n)
+		held := func(at int) func() bool {
+			return func() bool {
+				for _, x := range w.nodes[:n] {
+					e := x.r.entries[nameOf(9)]
+					if x.up && (e.m.Addr != addrOf(at) || e.state != Alive) {
+						return false
+					}
+				}
+				return true
+			}
+		}
+		for range 20 {
+			if w.run(w.now+time.Second, nil); !held(9)() || len(w.dead) > 0 {
+				t.Fatalf("seed %d: the second one has the name, or somebody is held dead: %+v", seed, w.dead)
+			}
+		}
+		var told uint64
+		for _, x := range w.nodes {
+			c := x.r.Counts()
+			if told += c.Conflicts; c.Conflicts > 21 || c.Claims > 0 { // twenty periods
+				t.Errorf("seed %d: %s tells of it %d times, and claims %d generations", seed, nameOf(x.i), c.Conflicts, c.Claims)
+			}
+		}
+		if told == 0 {
+			t.Errorf("seed %d: nobody tells of it", seed)
+		}
+		w.kill(9)
+		from := w.now
+		if !w.run(w.now+60*time.Second, held(n)) {
+			t.Errorf("seed %d: the second one never gets the name", seed)
+		}
+		took := w.now - from
+		w.kill(8)
+		w.start(8)
+		w.run(w.now+3*time.Second, nil)
+		for _, x := range w.nodes[:n] {
+			if e := x.r.entries[nameOf(8)]; x.up && e.m.Life != w.nodes[8].r.Self().Life {
+				t.Errorf("seed %d: %s holds an old life", seed, nameOf(x.i))
+			}
+		}
+		t.Logf("seed %d: the second one has the name %v after the end of the first", seed, took)
+	}
+}
+
 // TestTheDeadAreForgotten: a dead member is remembered for DeadFor and not longer, though others tell of it.
 func TestTheDeadAreForgotten(t *testing.T) {
 	t.Parallel()
--- a/internal/roster/receive.go
+++ b/internal/roster/receive.go
@@ -19,13 +19,15 @@
 	if r.left {
 		return nil
 	}
+	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 	if m.Name == r.self.m.Name {
-		if m.Life != r.self.m.Life && newer(m.Generation, m.Life, r.self.m.Generation, r.self.m.Life) > 0 {
+		if m.Life != r.self.m.Life && r.keeps(r.self, from) {
+			r.refuse(r.self, r.now, Member{Name: m.Name, Life: m.Life, Generation: m.Generation, Incarnation: m.Incarnation, Addr: from})
+		} else if m.Life != r.self.m.Life && newer(m.Generation, m.Life, r.self.m.Generation, r.self.m.Life) > 0 {
 			r.askClaim(m.Generation + 1)
 		}
 		return r.take()
 	}
-	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 
 	// What is said of others by one that is itself held dead, or not known yet, accuses nobody.
 	var newerHere []*entry
@@ -235,6 +237,10 @@
 // ofSelf takes what others say of this member, and reports whether it has to tell them better.
 func (r *Roster) ofSelf(n *record) bool {
 	m := r.self.m
+	if other, _ := n.member(); n.Life != m.Life && n.State.Live() && r.keeps(r.self, other.Addr) {
+		r.refuse(r.self, r.now, other)
+		return false
+	}
 	switch life := newer(n.Generation, n.Life, m.Generation, m.Life); {
 	case life > 0 || life == 0 && n.State == Left:
 		return r.askClaim(n.Generation + 1)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -102,6 +102,9 @@
 	At  time.Duration
 	Was Status
 	Is  Status
+	// Refused is another process under the same name, at another address, that is not taken up; Is equals Was then. Told with
+	// Options.FirstKeeps alone, once a period for each name at the most.
+	Refused *Member
 }
 
 // Send is a datagram to be sent, at most DatagramBytes long. Its loss is borne.
@@ -122,6 +125,7 @@
 	Late                    uint64 // times the caller came late by over a quarter of a period
 	Full                    uint64 // members not taken up because of MaxMembers
 	LostChanges             uint64 // changes dropped because nobody drained them
+	Conflicts               uint64 // changes that told of a name taken twice
 }
 
 // Options are what New needs. Zero values of the figures stand for the defaults named.
@@ -142,6 +146,9 @@
 	MaxSlowness      int           // own slowness stretches own periods and time-outs up to 1+MaxSlowness times; 4
 	DeadFor          time.Duration // for how long the dead and those who left are remembered; 10 minutes
 	MaxMembers       int           // the most names remembered, this one included; 4096
+	// FirstKeeps has a name stay with the member that has it, as long as that counts as live: a newer life of it at another
+	// address is not taken up until then. Otherwise the newer life has it at once.
+	FirstKeeps bool
 }
 
 // Roster is the membership as one member sees it. One goroutine may use it at a time.
--- a/internal/roster/table.go
+++ b/internal/roster/table.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"math"
 	"math/bits"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -38,7 +39,8 @@
 	since time.Duration
 	heard time.Duration
 	part  uint8
-	hash  uint32 // as it stands in the digests; 0 for those who are not live
+	twice time.Duration // when it was last told that another has the name
+	hash  uint32        // as it stands in the digests; 0 for those who are not live
 
 	// of a suspect
 	by     []string
@@ -113,7 +115,7 @@
 		t.r.counts.Full++
 		return nil
 	}
-	e := &entry{m: Member{Name: m.Name}, heard: never, part: partOf(m.Name)}
+	e := &entry{m: Member{Name: m.Name}, heard: never, twice: never, part: partOf(m.Name)}
 	t.entries[m.Name] = e
 	at, _ := t.place(m.Name)
 	t.order = slices.Insert(t.order, at, e)
@@ -213,6 +215,11 @@
 	switch {
 	case life < 0:
 		return true
+	case life > 0 && t.keeps(e, m.Addr):
+		if !ended {
+			t.refuse(e, now, m)
+		}
+		return false
 	case life > 0:
 		t.change(e, now, m, Alive, now)
 		if ended {
@@ -272,6 +279,21 @@
 	return n.State == Alive && e.state != Alive
 }
 
+// keeps says whether a name stays with who has it, whoever claims it from an address.
+func (t *table) keeps(e *entry, from netip.AddrPort) bool {
+	return t.r.o.FirstKeeps && e.state.Live() && e.m.Addr != from
+}
+
+// refuse tells that another process has the name of a live member.
+func (t *table) refuse(e *entry, now time.Duration, other Member) {
+	if e.twice != never && now-e.twice < t.r.o.Period {
+		return
+	}
+	e.twice = now
+	t.r.counts.Conflicts++
+	t.write1(Change{At: now, Was: e.status(), Is: e.status(), Refused: &other})
+}
+
 // accuse notes an accuser of a live member, if the news is a suspicion. It reports whether that is new.
 func (t *table) accuse(e *entry, now time.Duration, n *record, by string) bool {
 	if n.State != Suspect || !e.state.Live() || slices.Contains(e.by, by) || len(e.by) > t.r.o.Confirmations {
--- a/internal/roster/world_test.go
+++ b/internal/roster/world_test.go
@@ -20,6 +20,7 @@
 	cut   func(from, to int) bool // datagrams that do not pass
 	o     Options                 // what all members have in common
 	seeds []netip.AddrPort
+	alias map[int]int // whose name one has, of those that have not their own
 
 	dead  []verdict // who held whom dead, as it came
 	bytes int
@@ -103,7 +104,11 @@
 	o := w.o
 	o.Seeds = w.seeds
 	o.Rand = rand.New(rand.NewSource(w.rng.Int63()))
-	o.Self = Member{Name: nameOf(i), Life: w.rng.Uint64() | 1, Addr: addrOf(i), Zone: fmt.Sprintf("hall-%d", i%4), Role: 1,
+	named := i
+	if of, ok := w.alias[i]; ok {
+		named = of
+	}
+	o.Self = Member{Name: nameOf(named), Life: w.rng.Uint64() | 1, Addr: addrOf(i), Zone: fmt.Sprintf("hall-%d", i%4), Role: 1,
 		Meta: []byte("0123456789")}
 	n.r, n.up, n.wake = New(o, w.now), true, never
 	w.after(n, nil)
