--- a/internal/peers/log.go
+++ b/internal/peers/log.go
@@ -1,9 +1,7 @@
 package peers
 
 import (
-	"log"
 	"log/slog"
-	"strings"
 	"sync"
 	"time"
 )
@@ -43,31 +41,3 @@
 	r.at[what] = now
 	return true
 }
-
-// logger takes memberlist's lines: warnings and errors, each kind as rarely.
-func (r *rarely) logger() *log.Logger { return log.New(lines{r}, "", 0) }
-
-type lines struct{ r *rarely }
-
-func (l lines) Write(p []byte) (int, error) {
-	text := strings.TrimSpace(string(p))
-	if kind, ok := strings.CutPrefix(text, "[WARN] memberlist: "); ok {
-		l.line(kind)
-	} else if kind, ok := strings.CutPrefix(text, "[ERR] memberlist: "); ok {
-		l.line(kind)
-	}
-	return len(p), nil
-}
-
-// line says a line whose first words tell its kind: names and addresses come after.
-func (l lines) line(text string) {
-	words := strings.Fields(text)
-	if l.r.due(strings.Join(words[:min(3, len(words))], " ")) {
-		l.r.log.Warn(strings.ReplaceAll(text, "\n", " | "))
-	}
-}
-
-// firstLine is an error in one line.
-func firstLine(err error) string {
-	return strings.Join(strings.Fields(strings.ReplaceAll(err.Error(), "\n", " ")), " ")
-}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -1,4 +1,4 @@
-// Package peers is what agents of one fleet say to each other: membership (SWIM, by memberlist) and the messages that
+// Package peers is what agents of one fleet say to each other: membership (SWIM, by package roster) and the messages that
 // carry internal/shared. It judges nothing: what is merged, lent and spent is decided there. Nothing of it runs without
 // [peers] in the operator's file. Its calls from the loop's path (Count, Left, Spend, Missed) take one short lock and
 // never wait for the network. Start reading at Peers.
@@ -6,22 +6,18 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
+	"math/bits"
 	"math/rand/v2"
-	"net"
+	"net/netip"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"github.com/hashicorp/memberlist"
-
 	"saltmast"
+	"saltmast/internal/roster"
 	"saltmast/internal/shared"
 )
 
@@ -71,18 +67,22 @@
 	leaveFor = 100 * time.Millisecond
 	// handOnTo members get what an agent has counted when it goes.
 	handOnTo = 3
-	// forgetAfter is how long a lost member is called.
+	// forgetAfter is how long a lost member is remembered, and called.
 	forgetAfter = time.Hour
-	// joinAtOnce bounds the addresses of one call to join.
+	// joinAtOnce bounds the addresses that are called at once, and the states that are exchanged with those who come, in each
+	// span of Rejoin.
 	joinAtOnce = 3
+	// gossipEvery is how often what is in line is told to gossipTo members; twice a probe where that is more often.
+	gossipEvery = 200 * time.Millisecond
+	gossipTo    = 3
 )
 
 // Peers is one agent's part in a fleet.
 type Peers struct {
 	o     Options
 	self  shared.Agent
-	list  atomic.Pointer[memberlist.Memberlist] // nil until it could listen
-	done  chan struct{}                         // closed when Run returns
+	quay  atomic.Pointer[quay] // nil until it could listen
+	done  chan struct{}        // closed when Run returns
 	began time.Time
 	log   *slog.Logger
 	rare  *rarely
@@ -91,7 +91,8 @@
 	value   *shared.Value
 	rights  *shared.Holder // nil: no budget
 	queue   *shared.Queue
-	members map[string]*member
+	members map[string]*member // this one included
+	others  []*member          // that live, in no order
 	rng     *rand.Rand
 
 	witness  *shared.Witness
@@ -99,7 +100,8 @@
 	said     map[string]time.Duration // of those that are bad: when it was last said
 
 	counters counters
-	sent     atomic.Int64 // bytes of counts and rights
+	came     chan netip.AddrPort // members that came or came back
+	sent     atomic.Int64        // bytes of counts and rights
 	got      atomic.Int64
 	refused  atomic.Int64 // messages that were none
 	running  sync.WaitGroup
@@ -109,7 +111,7 @@
 type member struct {
 	agent shared.Agent
 	zone  string
-	addr  string
+	addr  netip.AddrPort
 	alive bool
 	since time.Duration // that it is as it is
 }
@@ -117,7 +119,7 @@
 // New listens; what it hears is merged from then on, and Run says something.
 func New(o Options) (*Peers, error) {
 	p := &Peers{o: o, self: shared.Agent{Name: o.Name, Incarnation: o.Incarnation}, began: time.Now(), log: o.Log.With("part", "peers"),
-		members: map[string]*member{}, done: make(chan struct{}), witness: shared.NewWitness(), said: map[string]time.Duration{}, rng: rand.New(rand.NewPCG(o.Incarnation, 1)), queue: shared.NewQueue(o.BytesASec)}
+		members: map[string]*member{}, came: make(chan netip.AddrPort, joinAtOnce), done: make(chan struct{}), witness: shared.NewWitness(), said: map[string]time.Duration{}, rng: rand.New(rand.NewPCG(o.Incarnation, 1)), queue: shared.NewQueue(o.BytesASec)}
 	p.rare = newRarely(p.log)
 	p.value = shared.NewWrongValue(p.self, o.Terms, p.now(), o.Wrong)
 	if o.Retries != nil {
@@ -131,84 +133,34 @@
 
 // listen opens the addresses; with that it is a member, of itself alone.
 func (p *Peers) listen() error {
-	c, err := p.config()
+	q, err := openQuay(p)
 	if err != nil {
 		return err
 	}
-	list, err := memberlist.Create(c)
-	if err != nil {
-		c.Transport.Shutdown()
-		return fmt.Errorf("peers: %w", err)
-	}
-	p.list.Store(list)
+	p.mu.Lock()
+	p.members[p.self.Name] = &member{agent: p.self, zone: p.o.Zone, addr: q.addr, alive: true, since: p.now()}
+	p.mu.Unlock()
+	p.quay.Store(q)
 	return nil
 }
 
-// inUse reports whether another process has the address: the one before, in an upgrade with both side by side, until it
-// has gone.
-func inUse(err error) bool { return strings.Contains(err.Error(), syscall.EADDRINUSE.Error()) }
-
 // Close ends one that does not run.
 func (p *Peers) Close() {
-	if l := p.list.Load(); l != nil {
-		l.Shutdown()
+	if q := p.quay.Load(); q != nil {
+		q.shut()
 	}
 }
 
 // Done is closed once Run has returned.
 func (p *Peers) Done() <-chan struct{} { return p.done }
 
-// config is memberlist's, for these options.
-func (p *Peers) config() (*memberlist.Config, error) {
-	host, port, err := split(p.o.Listen)
-	if err != nil {
-		return nil, fmt.Errorf("peers: listen: %w", err)
-	}
-	c := memberlist.DefaultLANConfig()
-	c.Name, c.Label = p.o.Name, p.o.Cluster
-	c.BindAddr, c.BindPort = host, port
-	c.Logger = p.rare.logger()
-	if p.o.Advertise != "" {
-		if c.AdvertiseAddr, c.AdvertisePort, err = split(p.o.Advertise); err != nil {
-			return nil, fmt.Errorf("peers: advertise: %w", err)
-		}
-	}
-	c.SecretKey = p.o.Key
-	c.ProbeInterval, c.ProbeTimeout = p.o.Probe, p.o.Probe/2
-	c.PushPullInterval = p.o.Exchange
-	c.GossipInterval = min(c.GossipInterval, p.o.Probe/2)
-	c.DeadNodeReclaimTime = p.o.Probe
-	c.TCPTimeout = min(c.TCPTimeout, max(time.Second, 4*p.o.Probe))
-	c.HandoffQueueDepth = 256
-	// Counts are small numbers, which do not get smaller.
-	c.EnableCompression = false
-	d := delegate{p}
-	c.Delegate, c.Events, c.Conflict, c.Alive = d, d, d, d
-	if c.Transport, err = newTransport(c, host, p.o.StateBytes+p.o.Members*memberBytes); err != nil {
-		return nil, fmt.Errorf("peers: listen: %w", err)
-	}
-	return c, nil
-}
-
-func split(addr string) (host string, port int, err error) {
-	host, text, err := net.SplitHostPort(addr)
-	if err != nil {
-		return "", 0, err
-	}
-	if net.ParseIP(host) == nil {
-		return "", 0, fmt.Errorf("%q is no IP address", host)
-	}
-	port, err = strconv.Atoi(text)
-	return host, port, err
-}
-
 // now is the agent's own clock; it goes on while the process is stopped.
 func (p *Peers) now() time.Duration { return time.Since(p.began) }
 
 // Addr is where others reach it; "" while it can't listen.
 func (p *Peers) Addr() string {
-	if l := p.list.Load(); l != nil {
-		return l.LocalNode().Address()
+	if q := p.quay.Load(); q != nil {
+		return q.addr.String()
 	}
 	return ""
 }
@@ -216,23 +168,29 @@
 // Run takes part until ctx ends, and then says farewell.
 func (p *Peers) Run(ctx context.Context) {
 	defer close(p.done)
-	p.running.Add(1)
+	p.running.Add(2)
 	go p.keepJoining(ctx)
+	go p.keepExchanging(ctx)
 	defer func() {
-		if l := p.list.Load(); l != nil {
-			p.handOn(l)
-			l.Leave(leaveFor) // nobody has to hear it: what was held runs out by itself
-			l.Shutdown()
+		if q := p.quay.Load(); q != nil {
+			p.handOn(q)
+			q.roster.Leave() // nobody has to hear it: what was held runs out by itself
+			q.shut()
 		}
 		p.running.Wait()
+		p.Close() // one that could listen at last meanwhile
 	}()
-	tick := time.NewTicker(stepEvery)
+	tick, tell := time.NewTicker(stepEvery), time.NewTicker(min(gossipEvery, p.o.Probe/2))
 	defer tick.Stop()
+	defer tell.Stop()
 	asked := p.now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-tell.C:
+			p.gossip()
+			continue
 		case <-tick.C:
 		}
 		p.takeOver()
@@ -253,7 +211,7 @@
 
 // handOn gives what this agent has counted to a few members before it goes: in a rolling restart of 150 agents a seventh of
 // all counts was still in line and went with them.
-func (p *Peers) handOn(l *memberlist.Memberlist) {
+func (p *Peers) handOn(q *quay) {
 	p.takeOver()
 	p.mu.Lock()
 	d := shared.Delta{Turn: p.value.Turn()}
@@ -262,10 +220,10 @@
 			d.Records = append(d.Records, r)
 		}
 	}
-	to := map[string]bool{}
+	var to []netip.AddrPort
 	for _, a := range p.alive() {
 		if len(to) < handOnTo {
-			to[a.Name] = true
+			to = append(to, p.members[a.Name].addr)
 		}
 	}
 	p.mu.Unlock()
@@ -274,17 +232,13 @@
 		return
 	}
 	done := make(chan struct{}, handOnTo)
-	sent := 0
-	for _, m := range l.Members() {
-		if to[m.Name] {
-			sent++
-			p.running.Add(1)
-			go func() { defer p.running.Done(); l.SendReliable(m, raw); done <- struct{}{} }()
-		}
+	for _, addr := range to {
+		p.running.Add(1)
+		go func() { defer p.running.Done(); q.leave(addr, raw); done <- struct{}{} }()
 	}
 	end := time.NewTimer(leaveFor)
 	defer end.Stop()
-	for ; sent > 0; sent-- {
+	for range to {
 		select {
 		case <-done:
 		case <-end.C:
@@ -430,34 +384,124 @@
 
 // say sends a message between holders; it may get lost.
 func (p *Peers) say(m shared.Message) {
-	l := p.list.Load()
-	if l == nil {
-		return
+	var to netip.AddrPort
+	p.mu.Lock()
+	if m := p.members[m.To.Name]; m != nil {
+		to = m.addr
+	}
+	p.mu.Unlock()
+	if q := p.quay.Load(); q != nil && to.IsValid() {
+		raw := shared.AppendMessage(nil, m)
+		p.sent.Add(int64(len(raw)))
+		q.send(to, nil, raw)
+	}
+}
+
+// ride takes from the line what goes to a member beside something else; nil: nothing, or nobody lives there.
+func (p *Peers) ride(to netip.AddrPort, room int) []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !slices.ContainsFunc(p.others, func(m *member) bool { return m.addr == to }) {
+		return nil
 	}
-	for _, n := range l.Members() {
-		if n.Name == m.To.Name {
-			raw := shared.AppendMessage(nil, m)
-			p.sent.Add(int64(len(raw)))
-			l.SendBestEffort(n, raw)
+	return p.take(room)
+}
+
+// take takes from the line. The lock is held.
+func (p *Peers) take(room int) []byte {
+	raw := p.queue.Take(p.now(), p.value.Turn(), room)
+	p.sent.Add(int64(len(raw)))
+	return raw
+}
+
+// gossip tells a few members what is in line, each something else.
+func (p *Peers) gossip() {
+	q := p.quay.Load()
+	for i := 0; q != nil && i < gossipTo; i++ {
+		p.mu.Lock()
+		var raw []byte
+		var to netip.AddrPort
+		if n := len(p.others); i < n {
+			j := i + p.rng.IntN(n-i)
+			p.others[i], p.others[j] = p.others[j], p.others[i]
+			to, raw = p.others[i].addr, p.take(q.room())
+		}
+		p.mu.Unlock()
+		if raw == nil {
 			return
 		}
+		q.send(to, nil, raw)
 	}
 }
 
+// keepExchanging exchanges whole states: with one member now and then, and with a few of those that come or come back.
+func (p *Peers) keepExchanging(ctx context.Context) {
+	defer p.running.Done()
+	timer := time.NewTimer(p.drawn(p.o.Exchange))
+	defer timer.Stop()
+	left, refill := joinAtOnce, p.now()
+	for {
+		var to netip.AddrPort
+		select {
+		case <-ctx.Done():
+			return
+		case to = <-p.came:
+			if now := p.now(); now-refill >= p.o.Rejoin {
+				left, refill = joinAtOnce, now
+			}
+			if left--; left < 0 {
+				continue // it, or this one, has its turn
+			}
+		case <-timer.C:
+			p.mu.Lock()
+			n := len(p.others)
+			if n > 0 {
+				to = p.others[p.rng.IntN(n)].addr
+			}
+			p.mu.Unlock()
+			timer.Reset(p.o.Exchange * time.Duration(scale(n+1)))
+		}
+		if q := p.quay.Load(); q != nil && to.IsValid() {
+			if err := q.exchange(to); err != nil && ctx.Err() == nil {
+				p.rare.say("no state was exchanged", "addr", to, "err", err)
+			}
+		}
+	}
+}
+
+// scale stretches the time between two exchanges in a large fleet, where each brings more: twice it from 33 members on, and
+// once more with each doubling.
+func scale(members int) int { return 1 + bits.Len(uint(max(0, members-1)/32)) }
+
+// drawn is a random part of a span.
+func (p *Peers) drawn(d time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Duration(p.rng.Int64N(int64(d)))
+}
+
 // keepJoining calls those that were given while nobody is there, and those that were lost now and then: after a cut
 // nobody else does.
 func (p *Peers) keepJoining(ctx context.Context) {
 	defer p.running.Done()
 	tick := time.NewTicker(p.o.Rejoin)
 	defer tick.Stop()
+	var called []netip.AddrPort
+	var full uint64
 	for {
-		if l := p.list.Load(); l == nil {
+		if q := p.quay.Load(); q == nil {
 			if err := p.listen(); err != nil {
-				p.rare.say("it can't listen yet", "err", firstLine(err))
+				p.rare.say("it can't listen yet", "err", err)
 			}
-		} else if to := p.missing(); len(to) > 0 {
-			if n, err := l.Join(to); n == 0 && err != nil {
-				p.rare.say("nobody answers", "addresses", to, "err", firstLine(err))
+		} else {
+			if len(called) > 0 && !p.lives(called) {
+				p.rare.say("nobody answers", "addresses", called)
+			}
+			called = p.missing()
+			q.roster.SetSeeds(called)
+			if n := q.roster.Counts().Roster.Full; n > full {
+				full = n
+				p.rare.say("no more members are taken", "members", p.o.Members)
 			}
 		}
 		select {
@@ -468,35 +512,115 @@
 	}
 }
 
+// lives reports whether a member lives at one of the addresses.
+func (p *Peers) lives(at []netip.AddrPort) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.others, func(m *member) bool { return slices.Contains(at, m.addr) })
+}
+
 // missing draws a few addresses to call: of those that were given and are no member, and of the lost.
-func (p *Peers) missing() []string {
-	given, self := p.o.Join(), p.Addr()
+func (p *Peers) missing() []netip.AddrPort {
+	given := p.o.Join()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	here := map[string]bool{self: true}
-	var lost []string
-	now := p.now()
-	for name, m := range p.members {
-		switch {
-		case m.alive:
+	here := map[netip.AddrPort]bool{}
+	var lost []netip.AddrPort
+	for _, m := range p.members {
+		if m.alive {
 			here[m.addr] = true
-		case now-m.since > forgetAfter:
-			delete(p.members, name)
-		default:
+		} else {
 			lost = append(lost, m.addr)
 		}
 	}
-	slices.Sort(lost)
-	for _, a := range given {
-		if !here[a] && !slices.Contains(lost, a) {
+	slices.SortFunc(lost, netip.AddrPort.Compare)
+	for _, text := range given {
+		if a, err := netip.ParseAddrPort(text); err == nil && !slices.Contains(lost, a) {
 			lost = append(lost, a)
 		}
 	}
-	lost = slices.DeleteFunc(lost, func(a string) bool { return here[a] })
+	lost = slices.DeleteFunc(lost, func(a netip.AddrPort) bool { return here[a] })
 	p.rng.Shuffle(len(lost), func(i, j int) { lost[i], lost[j] = lost[j], lost[i] })
 	return lost[:min(joinAtOnce, len(lost))]
 }
 
+// changed takes what became of members. The roster's owner calls it.
+func (p *Peers) changed(changes []roster.Change) {
+	for _, c := range changes {
+		if o := c.Refused; o != nil {
+			p.refused.Add(1)
+			p.rare.say("a name is taken twice: the second is refused", "name", c.Is.Name, "have", c.Is.Addr, "other", o.Addr)
+		} else if c.Is.Name != p.self.Name {
+			p.note(c.Is)
+		}
+	}
+}
+
+// note takes what a member is now.
+func (p *Peers) note(is roster.Status) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.members[is.Name]
+	if is.State == roster.Unknown {
+		delete(p.members, is.Name) // lost for so long that nobody calls it any more
+		return
+	}
+	alive := is.State.Live()
+	if m == nil {
+		if !alive {
+			return
+		}
+		m = &member{}
+		p.members[is.Name] = m
+	}
+	agent := shared.Agent{Name: is.Name, Incarnation: is.Life}
+	if alive && (!m.alive || m.agent != agent) {
+		select {
+		case p.came <- is.Addr:
+		default:
+		}
+	}
+	if m.agent != agent || m.alive != alive {
+		p.log.Info("member", "name", is.Name, "incarnation", fmt.Sprintf("%x", agent.Incarnation), "alive", alive, "addr", is.Addr)
+		if alive && !m.alive {
+			p.others = append(p.others, m)
+		} else if !alive {
+			p.others = slices.DeleteFunc(p.others, func(o *member) bool { return o == m })
+		}
+		m.agent, m.alive, m.since = agent, alive, p.now()
+	}
+	m.zone, m.addr = is.Zone, is.Addr
+}
+
+// state is all that is known, as far as the bound on its size allows.
+func (p *Peers) state() []byte {
+	p.takeOver()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	whole := p.value.Whole()
+	raw, n := shared.AppendDelta(nil, whole, p.o.StateBytes)
+	if n < len(whole.Records) {
+		p.rare.say("the state is larger than state_kb: a part of it is exchanged", "records", len(whole.Records), "sent", n)
+	}
+	p.sent.Add(int64(len(raw)))
+	return raw
+}
+
+// hearState takes another agent's whole state.
+func (p *Peers) hearState(raw []byte) {
+	if len(raw) > p.o.StateBytes {
+		p.refuse("a state is refused", len(raw), "", errTooMuch)
+		return
+	}
+	p.hear(raw)
+}
+
+// refuse counts what was none of ours, and says so now and then.
+func (p *Peers) refuse(what string, size int, from string, err error) {
+	p.refused.Add(1)
+	p.rare.say(what, "bytes", size, "from", from, "err", err)
+}
+
 // hear takes what came from another agent.
 func (p *Peers) hear(raw []byte) {
 	p.got.Add(int64(len(raw)))
@@ -514,7 +638,7 @@
 			}
 			p.mu.Unlock()
 			if ok {
-				go p.say(answer) // not from memberlist's own goroutine
+				p.say(answer)
 			}
 		}
 	}
@@ -568,6 +692,3 @@
 	defer p.mu.Unlock()
 	p.rights.Missed()
 }
-
-// errFull is why a member beyond the bound is not taken.
-var errFull = errors.New("no more members are taken")
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -1,23 +1,22 @@
 package peers
 
 import (
-	"errors"
-	"sync/atomic"
-
+	"bytes"
 	"context"
+	"encoding/binary"
 	"fmt"
-	"github.com/hashicorp/memberlist"
-	"io"
-	"log"
+	"math/rand"
 	"net"
-	"strconv"
+	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"go.uber.org/goleak"
 
 	"saltmast/internal/rig"
+	"saltmast/internal/roster"
 	"saltmast/internal/shared"
 )
 
@@ -30,7 +29,7 @@
 }
 
 // start runs one until the test ends, or until what it returns is called.
-func start(t *testing.T, o Options) (*Peers, func()) {
+func start(t testing.TB, o Options) (*Peers, func()) {
 	t.Helper()
 	p, err := New(o)
 	if err != nil {
@@ -159,12 +158,11 @@
 func TestNonsenseIsRefusedAndSaidOnceAMinute(t *testing.T) {
 	log := &rig.Capture{}
 	p, _ := start(t, options("a", log))
-	d := delegate{p}
-	d.NotifyMsg([]byte("garbage"))
-	d.NotifyMsg([]byte{shared.Version + 1, 'd', 0})
-	d.MergeRemoteState(make([]byte, 100*p.o.StateBytes), false)
+	p.hear([]byte("garbage"))
+	p.hear([]byte{shared.Version + 1, 'd', 0})
+	p.hearState(make([]byte, 100*p.o.StateBytes))
 	whole, _ := shared.AppendDelta(nil, shared.Delta{Records: []shared.Record{{Agent: shared.Agent{Name: "x"}, Counts: map[string]shared.Tally{"look": {1 << 63}}}}}, 1<<20)
-	d.NotifyMsg(whole)
+	p.hear(whole)
 	if v := p.View(); v.Refused != 4 || count(p, "look") != 0 {
 		t.Errorf("%+v", v)
 	}
@@ -269,37 +267,82 @@
 	rig.Until(t, "both to know each other", func() bool { return a.View().Alive == 2 && b.View().Alive == 2 })
 }
 
+// caller is somebody who sends what the test has it send.
+type caller struct {
+	net.Conn
+	addr netip.AddrPort
+}
+
+func call(t *testing.T, p *Peers) caller {
+	c, err := net.Dial("udp", p.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return caller{c, c.LocalAddr().(*net.UDPAddr).AddrPort()}
+}
+
+// ping is a first datagram of a member, as it stands in an envelope.
+func (c caller) ping(name, zone, to string) []byte {
+	r := roster.New(roster.Options{Self: roster.Member{Name: name, Zone: zone, Life: 7, Addr: c.addr}, Rand: rand.New(rand.NewSource(1)),
+		Seeds: []netip.AddrPort{netip.MustParseAddrPort(to)}}, 0)
+	return datagram{from: c.addr, roster: r.Step(0)[0].Data}.append(nil)
+}
+
 // Members of another version, without a name, or beyond the bound are not taken.
 func TestMembersThatAreNotTaken(t *testing.T) {
-	o := options("a", &rig.Capture{})
-	o.Members = 2
+	log := &rig.Capture{}
+	o := options("a", log)
+	o.Members, o.Probe = 2, time.Hour // nobody is lost
 	p, _ := start(t, o)
-	d := delegate{p}
-	good := meta(7, "north")
-	other := append([]byte(nil), good...)
-	other[0]++
-	for name, n := range map[string]*memberlist.Node{
-		"another version": {Name: "x", Meta: other},
-		"no word of it":   {Name: "x"},
-		"a long zone":     {Name: "x", Meta: meta(7, strings.Repeat("z", 65))},
-		"no name":         {Meta: good},
-		"a long name":     {Name: strings.Repeat("n", 65), Meta: good},
-	} {
-		if err := d.NotifyAlive(n); !errors.Is(err, shared.ErrBad) {
-			t.Errorf("%s: %v", name, err)
-		}
+	c := call(t, p)
+	e := p.quay.Load().envelope
+	good := c.ping("bbbb", "north", p.Addr())
+	change := func(old, new string) []byte { // texts have their length before them: 0x60 and so much, 0x78 and a byte
+		raw := bytes.ReplaceAll(good, []byte(old), []byte(new))
+		size := len(raw) - len(good)
+		binary.BigEndian.PutUint16(raw[7:], binary.BigEndian.Uint16(raw[7:])+uint16(size)) // of the roster's part
+		return e.seal(forDatagram, raw)
 	}
-	n := &memberlist.Node{Name: "b", Meta: good, Addr: net.IPv4(127, 0, 0, 1), Port: 1}
-	if err := d.NotifyAlive(n); err != nil {
-		t.Fatal(err)
+	other := e.seal(forDatagram, good)
+	other[1]++
+	for name, raw := range map[string][]byte{
+		"another version": other,
+		"another purpose": e.seal(forAsk, good),
+		"no address":      e.seal(forDatagram, append([]byte{0}, good[7:]...)),
+		"a long zone":     change("\x65north", "\x78\x41"+strings.Repeat("z", 65)),
+		"no name":         change("\x64bbbb", "\x60"),
+		"a long name":     change("\x64bbbb", "\x78\x41"+strings.Repeat("n", 65)),
+	} {
+		was := p.View().Refused
+		c.Write(raw)
+		rig.Until(t, name+" to be refused", func() bool { return p.View().Refused == was+1 })
 	}
-	d.NotifyJoin(n)
-	if err := d.NotifyAlive(&memberlist.Node{Name: "c", Meta: good}); err != errFull {
-		t.Errorf("a third of two: %v", err)
+	c.Write(change("\x64bbbb", "\x64cccc"))
+	rig.Until(t, "one that is good", func() bool { return p.View().Alive == 2 })
+	c.Write(e.seal(forDatagram, good))
+	rig.Until(t, "one beyond the bound", func() bool { return p.quay.Load().roster.Counts().Roster.Full > 0 })
+	rig.Until(t, "a word of it", func() bool { return log.Has("no more members") })
+	if v := p.View(); len(v.Members) != 2 || v.Members[1].Name != "cccc" {
+		t.Errorf("%+v", v)
 	}
-	if err := d.NotifyAlive(n); err != nil {
-		t.Errorf("one that is known: %v", err)
+}
+
+// What the line has no room for comes with whole states, from one to the next.
+func TestWholeStatesAreExchanged(t *testing.T) {
+	var all []*Peers
+	for _, name := range []string{"a", "b", "c"} {
+		o := options(name, &rig.Capture{})
+		o.BytesASec, o.Key = 0, []byte("0123456789abcdef")
+		if len(all) > 0 {
+			o.Join = join(all[0])
+		}
+		p, _ := start(t, o)
+		all = append(all, p)
 	}
+	rig.Until(t, "all to know each other", func() bool { return all[0].View().Alive == 3 })
+	all[1].Count(0, 0, shared.Requests)
+	rig.Until(t, "the counts", func() bool { return count(all[0], "look") == 1 && count(all[2], "look") == 1 })
 }
 
 // One that is told to stop leaves what it has counted with others, whatever its line allowed it to tell before.
@@ -317,25 +360,60 @@
 	rig.Until(t, "what it had counted", func() bool { return count(a, "look") == 7 })
 }
 
-// Connections that come while it shuts down hold nothing up, though nobody takes them any more.
+// Connections that come while it shuts down hold nothing up, though nobody says anything by them.
 func TestShutdownWaitsForNoConnection(t *testing.T) {
-	c := memberlist.DefaultLANConfig()
-	c.BindPort, c.Logger = 0, log.New(io.Discard, "", 0)
-	tr, err := newTransport(c, "127.0.0.1", 1000)
+	p, err := New(options("a", &rig.Capture{}))
 	if err != nil {
 		t.Fatal(err)
 	}
-	addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(tr.GetAutoBindPort()))
-	for range 3 { // one to be handed on, one that the listener holds, one in its queue
-		conn, err := net.Dial("tcp", addr)
+	for range mostStreams + 2 { // those that are served, one that is turned away, one in the listener's queue
+		conn, err := net.Dial("tcp", p.Addr())
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer conn.Close()
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- tr.Shutdown() }()
+	go func() { p.Close(); ended <- nil }()
 	if err := rig.Receive(t, ended); err != nil {
 		t.Error(err)
 	}
 }
+
+// With a key nothing can be read, changed or made by others; without one, nothing that was sealed is taken.
+func TestEnvelopes(t *testing.T) {
+	for _, size := range []int{0, 16, 24, 32} {
+		var key []byte
+		if size > 0 {
+			key = bytes.Repeat([]byte{7}, size)
+		}
+		e, err := newEnvelope("test", key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		plain := []byte("counts of all")
+		raw := e.seal(forAsk, plain)
+		if size > 0 && (bytes.Contains(raw, plain) || bytes.Equal(raw[headBytes:], e.seal(forAsk, plain)[headBytes:])) {
+			t.Errorf("key of %d bytes: it can be read, or told from another", size)
+		}
+		if purpose, got, err := e.open(raw); err != nil || purpose != forAsk || !bytes.Equal(got, plain) || len(raw) != len(plain)+e.overhead() {
+			t.Errorf("key of %d bytes: %c %q %v", size, purpose, got, err)
+		}
+		for i := range raw {
+			if i == 2 && size == 0 || i >= headBytes && size == 0 {
+				continue // nothing says what it was
+			}
+			raw[i] ^= 1
+			if _, _, err := e.open(raw); err == nil {
+				t.Errorf("key of %d bytes: byte %d was changed", size, i)
+			}
+			raw[i] ^= 1
+			if _, _, err := e.open(raw[:i]); err == nil {
+				t.Errorf("key of %d bytes: %d bytes of it", size, i)
+			}
+		}
+	}
+	if _, err := newEnvelope("test", make([]byte, 15)); err == nil {
+		t.Error("a key of 15 bytes")
+	}
+}
--- a/internal/peers/view.go
+++ b/internal/peers/view.go
@@ -79,19 +79,22 @@
 
 // View is what is known of the others now.
 func (p *Peers) View() View {
-	addr := p.Addr()
+	addr, refused := p.Addr(), p.refused.Load()
+	if q := p.quay.Load(); q != nil {
+		refused += int64(q.roster.Counts().Roster.Refused)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
 	heard := p.value.Heard(now)
-	v := View{Sent: p.sent.Load(), Received: p.got.Load(), Refused: p.refused.Load(),
+	v := View{Sent: p.sent.Load(), Received: p.got.Load(), Refused: refused,
 		Self: Member{Name: p.self.Name, Incarnation: fmt.Sprintf("%x", p.self.Incarnation), Zone: p.o.Zone, Addr: addr, Alive: true, Since: now.Seconds()}}
 	for name, m := range p.members {
 		age := -1.0
 		if h, ok := heard[m.agent]; ok {
 			age = h.Seconds()
 		}
-		v.Members = append(v.Members, Member{Name: name, Incarnation: fmt.Sprintf("%x", m.agent.Incarnation), Zone: m.zone, Addr: m.addr,
+		v.Members = append(v.Members, Member{Name: name, Incarnation: fmt.Sprintf("%x", m.agent.Incarnation), Zone: m.zone, Addr: m.addr.String(),
 			Alive: m.alive, Since: (now - m.since).Seconds(), Heard: age})
 		if m.alive {
 			v.Alive++
