Gangway: each request that misses its target is put down to one cause

Change: a passage (what is known of a request once it has ended) is judged by one pure function into in target, refused, failed or late, and one cause of a closed list of 25 and "other". Late: the backend where its run alone took longer than the target (cold by its own word, or slow), else the longest of what came before the run: the claim, the waits between attempts, failed attempts, the wait for a place, the client's body. A gate tells how long an ask waited for a place (milliseconds, only where there was a wait); Helm.Again says why there is no further attempt; a choice knows whether its backend is still warming up. Counted by kind of route as well (in_target_KIND, missed_KIND). One atomic add for a request in target, two for another; no time stamp more: the one for the answer's write deadline is taken before it. Counters that are 0 are left out of the log line (all 78: 2 kB). A tug that is stopped writes its counters once more: those since the last line were lost.

--- a/internal/gangway/front.go
+++ b/internal/gangway/front.go
@@ -117,6 +117,7 @@
 	g.Counts.Requests.Add(1)
 	body, rest, k := c.body(r, limits)
 	if k != plight.OK {
+		g.ended(&passage{kind: k, gone: k == plight.Broken}, nil)
 		if k != plight.Broken {
 			g.Counts.Bad.Add(1)
 			c.turnAway(k.Answer().Status, k.String())
@@ -128,25 +129,39 @@
 		v.rest = &stalling{c.Conn, rest}
 	}
 	a, k := v.sail()
+	now := time.Now()
+	v.log.kind, v.log.took = k, now.Sub(came)
 	c.SetReadDeadline(time.Time{})
 	whole := rest == nil || rest.Whole()
 	last := r.Last || !whole || g.stopping.Load()
 	if a != nil {
-		ok := c.pass(a, r, last)
+		v.log.status = a.Status
+		ok := c.pass(a, r, last, now, &v.log)
+		if a.Rest != nil {
+			v.log.took = time.Since(came)
+		}
+		g.ended(&v.log, v.route)
 		return c.after(ok, last, whole)
 	}
 	if rest != nil && !whole && errors.Is(v.err, errClient) {
 		switch {
 		case errors.Is(v.err, http1.ErrTooLarge):
 			g.Counts.Bad.Add(1)
+			v.log.kind = plight.BodyTooLong
 			c.turnAway(plight.BodyTooLong.Answer().Status, plight.BodyTooLong.String())
 		case errors.Is(v.err, http1.ErrBody):
 			g.Counts.Bad.Add(1)
+			v.log.kind = plight.Unreadable
 			c.turnAway(plight.Unreadable.Answer().Status, plight.Unreadable.String())
+		default:
+			v.log.gone = true
 		}
+		g.ended(&v.log, v.route)
 		return false
 	}
 	ok := c.own(k, v, last)
+	v.log.gone = !ok
+	g.ended(&v.log, v.route)
 	return c.after(ok, last, whole)
 }
 
@@ -233,8 +248,9 @@
 	return err == nil
 }
 
-// pass writes a backend's answer. One that breaks off ends its connection before its end, so that the client sees it.
-func (c *client) pass(a *Answer, r *http1.Request, last bool) bool {
+// pass writes a backend's answer, and notes in log what kept it from its end. One that breaks off ends its connection before its
+// end, so that the client sees it.
+func (c *client) pass(a *Answer, r *http1.Request, last bool, now time.Time, log *passage) bool {
 	length := a.Length
 	if length < 0 {
 		length = http1.Chunked
@@ -249,10 +265,11 @@
 	} else {
 		msg = appendChunk(msg, a.Body, length)
 	}
-	c.SetWriteDeadline(time.Now().Add(stallTime))
+	c.SetWriteDeadline(now.Add(stallTime))
 	_, err := c.Conn.Write(msg)
 	*buf = msg[:0]
 	putBuf(buf)
+	log.gone = err != nil
 	if a.Rest == nil {
 		return err == nil
 	}
@@ -271,6 +288,7 @@
 				p = appendChunk(make([]byte, 0, n+16), p, length)
 			}
 			if _, werr := c.Conn.Write(p); werr != nil {
+				log.gone = true
 				return false
 			}
 		}
@@ -278,11 +296,13 @@
 			whole = true
 			if length < 0 {
 				_, err := io.WriteString(c.Conn, "0\r\n\r\n")
+				log.gone = err != nil
 				return err == nil
 			}
 			return true
 		}
 		if err != nil {
+			log.cut = true
 			return false
 		}
 	}
@@ -338,6 +358,7 @@
 
 	key   string
 	claim tally.ID
+	log   passage
 }
 
 // comeBack is when a client should come back with what was answered by k, not all at once: soon where a place or a vote was
@@ -387,7 +408,9 @@
 		left = min(left, time.Duration(ms*float64(time.Millisecond)))
 	}
 	v.cut = v.came.Add(left)
-	if time.Until(v.cut) <= 0 {
+	v.log.target = v.route.Target
+	rest := time.Until(v.cut)
+	if v.log.body = left - rest; rest <= 0 {
 		return nil, plight.Overdue
 	}
 	if v.route.Kind == manifest.Deduplicated {
@@ -456,6 +479,8 @@
 		a.Left = uint32(left.Milliseconds())
 		a.Hold = uint32(v.hold(first).Milliseconds())
 		g.Counts.Attempts.Add(1)
+		v.log.runs++
+		v.log.before = v.cut.Sub(v.came) - left
 		o := v.attempt(c, a)
 		at := c
 		if !o.hop && c.addr != g.o.GateAddr {
@@ -467,6 +492,7 @@
 			sent++
 		}
 		k = o.Plight
+		v.log.cold, v.log.place = c.cold && !o.hop, time.Duration(o.Held)*time.Millisecond
 		if k == plight.OK {
 			if o.answer.Status < 500 || !v.route.Kind.Repeatable() {
 				g.Counts.Served.Add(1)
@@ -474,6 +500,7 @@
 			}
 			last, ran = o.answer, plight.Failed
 			k = plight.Failed
+			v.log.tried = causeBackend
 		} else if !k.NotRun() {
 			ran, where = k, c.addr
 			if !v.route.Kind.Repeatable() {
@@ -482,16 +509,19 @@
 		} else if k == plight.Full {
 			g.Counts.HopFull.Add(1)
 		}
+		if o.Plight != plight.OK {
+			v.log.tried = causeOf[k]
+		}
 		if v.spent || sent >= max(1, v.route.MaxAttempts) {
 			break
 		}
 		failed = c.node
 		var wait time.Duration
-		again := false
+		no := granted
 		g.helm.Ask(func(h *Helm) {
-			wait, again = h.Again(g.now(), v.route, service, retries, k, sent > 0, time.Until(v.cut))
+			wait, no = h.Again(g.now(), v.route, service, retries, k, sent > 0, time.Until(v.cut))
 		})
-		if !again {
+		if v.log.denied = no; no != granted {
 			break
 		}
 		if last != nil && last.Rest != nil { // a long one holds its place at the backend, which the next attempt may need
@@ -499,6 +529,7 @@
 			last = nil
 		}
 		g.Counts.Retries.Add(1)
+		v.log.backoff += wait
 		if wait > 0 {
 			time.Sleep(wait)
 		}
--- a/internal/gangway/gangway.go
+++ b/internal/gangway/gangway.go
@@ -77,10 +77,13 @@
 
 // Counts count what became of requests.
 type Counts struct {
-	Requests, Served, Late, Errors, Refused, NoRoute, Bad           atomic.Int64
+	Requests, Served, Errors, Refused, NoRoute, Bad                 atomic.Int64
 	Attempts, Retries, Claims, Lost, Split, CoreOut, Replayed, Void atomic.Int64
 	ClaimMicros, HopFull, Relays, Relayed                           atomic.Int64
 	ByKind                                                          [32]atomic.Int64 // own answers, by plight
+
+	InTarget, Missed [manifest.RouteKinds]atomic.Int64 // requests that have ended, by kind of route
+	Ended            [endings][causes]atomic.Int64     // those that were not answered within their target
 }
 
 // New returns a gangway that serves once Serve is called.
@@ -235,5 +238,6 @@
 			out["own_"+strconv.Itoa(k)] = n
 		}
 	}
+	c.losses(out)
 	return out
 }
--- a/internal/gangway/gate.go
+++ b/internal/gangway/gate.go
@@ -371,7 +371,8 @@
 		}
 		return g.tell(outcome{told: told{Plight: k}})
 	}
-	left := time.Duration(a.Left)*time.Millisecond - time.Since(came)
+	held := time.Since(came)
+	left := time.Duration(a.Left)*time.Millisecond - held
 	if left <= 0 {
 		g.exit()
 		return g.tell(outcome{told: told{Plight: plight.Overdue}})
@@ -383,6 +384,7 @@
 		})
 	}
 	o := g.exchange(a, body, rest, time.Now().Add(left))
+	o.Held = uint32(held.Milliseconds())
 	if o.answer != nil && o.answer.Rest != nil { // its place is free when it has gone on
 		end := o.answer.end
 		o.answer.end = func(whole bool) { end(whole); g.exit() }
--- a/internal/gangway/helm.go
+++ b/internal/gangway/helm.go
@@ -131,6 +131,7 @@
 type choice struct {
 	node, addr, instance, service string
 	ok                            bool
+	cold                          bool // still warming up, by its own word
 }
 
 func (h *Helm) ration(service string) *ration.Ration {
@@ -203,7 +204,7 @@
 	if now < r.awayTill {
 		r.awayTill = now + awayHigh // one looks whether it is back
 	}
-	return choice{node: r.Node, addr: r.Addr, instance: r.Instance, service: service, ok: true}
+	return choice{node: r.Node, addr: r.Addr, instance: r.Instance, service: service, ok: true, cold: now < r.warmAt}
 }
 
 // Over takes the outcome of an attempt.
@@ -232,29 +233,39 @@
 	}
 }
 
+// denial says why there is no further attempt.
+type denial uint8
+
+const (
+	granted  denial = iota
+	enough          // its attempts or its time are used up
+	noTokens        // the bucket is low
+	noRation        // the service got as many further arrivals as it may
+)
+
 // Again decides whether a request that failed gets another attempt, and after what wait. sent: an attempt may have reached a
 // backend; then the next is one more arrival, which the ration must allow.
-func (h *Helm) Again(now time.Duration, r *manifest.Route, service string, retries int, last plight.Kind, sent bool, left time.Duration) (wait time.Duration, ok bool) {
+func (h *Helm) Again(now time.Duration, r *manifest.Route, service string, retries int, last plight.Kind, sent bool, left time.Duration) (wait time.Duration, no denial) {
 	if retries >= maxRetries {
-		return 0, false
+		return 0, enough
 	}
 	ceiling := max(ceilingLow, r.Target/ceilingPart)
 	wait = retry.Wait(h.Rand.Float64(), retries, backoffUnit, ceiling)
 	if wait >= left {
-		return 0, false
+		return 0, enough
 	}
 	cost := retryCost
 	if last == plight.TimedOut {
 		cost = timeoutCost
 	}
 	if h.bucket.Tokens() < cost {
-		return 0, false
+		return 0, noTokens
 	}
 	if sent && !h.ration(service).Further(now) {
-		return 0, false
+		return 0, noRation
 	}
 	h.bucket.Spend(cost)
-	return wait, true
+	return wait, granted
 }
 
 // Relays draws up to n other proxies that can be reached, as far as is known.
--- a/internal/gangway/helm_test.go
+++ b/internal/gangway/helm_test.go
@@ -34,8 +34,8 @@
 // none; at most 5 retries, none that would come too late.
 func TestRetries(t *testing.T) {
 	again := func(h *Helm, retries int, last plight.Kind) bool {
-		_, ok := h.Again(time.Second, slow, "s", retries, last, false, time.Hour)
-		return ok
+		_, no := h.Again(time.Second, slow, "s", retries, last, false, time.Hour)
+		return no == granted
 	}
 	for _, c := range []struct {
 		last plight.Kind
@@ -77,15 +77,15 @@
 		}
 	}
 	before := h.bucket.Tokens()
-	if _, ok := h.Again(0, slow, "s", 0, plight.Full, false, 0); ok || h.bucket.Tokens() != before {
-		t.Errorf("a retry with no time left: %v, %v tokens of %v", ok, h.bucket.Tokens(), before)
+	if _, no := h.Again(0, slow, "s", 0, plight.Full, false, 0); no == granted || h.bucket.Tokens() != before {
+		t.Errorf("a retry with no time left: %v, %v tokens of %v", no, h.bucket.Tokens(), before)
 	}
 	h.Allowance, h.Ratio = 0, 0
 	h.rations = map[string]*ration.Ration{}
-	if _, ok := h.Again(0, slow, "s", 0, plight.TurnedAway, true, time.Hour); ok || h.bucket.Tokens() != before {
+	if _, no := h.Again(0, slow, "s", 0, plight.TurnedAway, true, time.Hour); no == granted || h.bucket.Tokens() != before {
 		t.Error("one more arrival beyond the ration")
 	}
-	if _, ok := h.Again(0, slow, "s", 0, plight.Full, false, time.Hour); !ok {
+	if _, no := h.Again(0, slow, "s", 0, plight.Full, false, time.Hour); no != granted {
 		t.Error("what never arrived waits for the ration")
 	}
 }
@@ -105,8 +105,8 @@
 			h := helmOf(1)
 			low, high := time.Hour, time.Duration(0)
 			for range 90 {
-				w, ok := h.Again(0, &manifest.Route{Target: c.target}, "s", retries, plight.Full, false, time.Hour)
-				if !ok {
+				w, no := h.Again(0, &manifest.Route{Target: c.target}, "s", retries, plight.Full, false, time.Hour)
+				if no != granted {
 					t.Fatal("no retry")
 				}
 				low, high = min(low, w), max(high, w)
--- a/internal/gangway/hop.go
+++ b/internal/gangway/hop.go
@@ -72,9 +72,10 @@
 	Status  int         `cbor:"3,keyasint"`
 	Header  []Field     `cbor:"4,keyasint"`
 	Length  int64       `cbor:"5,keyasint"`
-	Running int         `cbor:"6,keyasint"` // requests at the backend now
-	Waiting int         `cbor:"7,keyasint"` // and before it
-	State   tally.State `cbor:"9,keyasint"` // of a recall
+	Running int         `cbor:"6,keyasint"`            // requests at the backend now
+	Waiting int         `cbor:"7,keyasint"`            // and before it
+	State   tally.State `cbor:"9,keyasint"`            // of a recall
+	Held    uint32      `cbor:"12,keyasint,omitempty"` // milliseconds that it waited for a place
 
 	Verdict tally.Verdict `cbor:"10,keyasint,omitempty"` // of a claim
 	Holder  *tally.ID     `cbor:"11,keyasint,omitempty"`
--- a/internal/gangway/keyed.go
+++ b/internal/gangway/keyed.go
@@ -105,7 +105,8 @@
 	for try := 0; ; try++ {
 		var verdict tally.Verdict
 		verdict, holder = g.claimAnyhow(v.key, v.claim, time.Until(end))
-		g.Counts.ClaimMicros.Add(time.Since(begun).Microseconds())
+		v.log.claim = time.Since(begun)
+		g.Counts.ClaimMicros.Add(v.log.claim.Microseconds())
 		switch verdict {
 		case tally.Won:
 			return plight.OK, holder
--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -27,6 +27,7 @@
 	Name  string
 	About string
 	Start func(s *articles.Settings, log func(event, text string)) (Running, error)
+	Last  bool // its counters are told once more when it has stopped
 }
 
 // Running is a program that has started.
@@ -120,6 +121,13 @@
 		say("settings", "changed")
 		r.Reload(n)
 	}
+	counters := func() {
+		e := l.Info().Str("event", "counters")
+		for k, v := range r.Counts() {
+			e = e.Int64(k, v)
+		}
+		e.Msg("")
+	}
 	for {
 		select {
 		case sig := <-stop:
@@ -130,6 +138,9 @@
 			}
 			say("stopping", sig.String())
 			r.Stop(s.Bounds.Grace - 500*time.Millisecond)
+			if a.Counter > 0 && p.Last {
+				counters()
+			}
 			say("stopped", p.Name)
 			return 0
 		case <-look.C:
@@ -137,11 +148,7 @@
 				reload()
 			}
 		case <-count:
-			e := l.Info().Str("event", "counters")
-			for k, v := range r.Counts() {
-				e = e.Int64(k, v)
-			}
-			e.Msg("")
+			counters()
 		}
 	}
 }
--- a/internal/manifest/chart.go
+++ b/internal/manifest/chart.go
@@ -18,6 +18,8 @@
 	Mutating                      // at most once for each try
 	Deduplicated                  // once for each operation key
 	Egress                        // more than once, with large answers
+	// RouteKinds is how many kinds there are.
+	RouteKinds = iota
 )
 
 var routeKinds = [...]string{Idempotent: "idempotent", Mutating: "mutating", Deduplicated: "deduplicated", Egress: "egress"}
--- a/internal/tug/tug.go
+++ b/internal/tug/tug.go
@@ -68,7 +68,7 @@
 )
 
 // Program is the proxy as a program.
-var Program = launch.Program{Name: "tug", About: "The proxy of the mesh: carries the requests of one machine.",
+var Program = launch.Program{Name: "tug", About: "The proxy of the mesh: carries the requests of one machine.", Last: true,
 	Start: func(s *articles.Settings, log func(event, text string)) (launch.Running, error) {
 		return Start(s, log, nil)
 	}}
