Claims: another proxy is asked also where the members can't be asked at all

A proxy whose claim no majority answers asks another to claim for it, 60 ms later. Where its own attempt failed sooner, as it does when connections are refused, or when one was given up a moment ago and the next is not yet dialled, it answered 503 and asked nobody, though a neighbour might reach the members.

Now a failure of the own attempt has the others asked at once. TestClaimByAnotherProxy: members that refuse connections, and a neighbour that wins; seen to fail.

--- a/internal/gangway/keyed.go
+++ b/internal/gangway/keyed.go
@@ -167,22 +167,26 @@
 	}
 	t := time.NewTimer(after)
 	defer t.Stop()
-	under := 1
-	for under > 0 {
+	under, relayed := 1, false
+	for under > 0 || !relayed {
 		select {
 		case r := <-ch:
 			under--
 			if r.direct {
 				if r.verdict != tally.Open {
 					g.out.Store(0)
-				} else {
+				} else { // at once, where connections are refused or were given up a moment ago
 					g.out.Store(int64(g.now() + outFor))
+					if !relayed {
+						t.Reset(0)
+					}
 				}
 			}
 			if r.verdict != tally.Open {
 				return r.verdict, r.holder
 			}
 		case <-t.C:
+			relayed = true
 			at := g.relays(2) // one of them may be cut off as well
 			if good := g.relay.Load(); good != nil {
 				at = []string{*good}
--- a/internal/gangway/way_test.go
+++ b/internal/gangway/way_test.go
@@ -12,10 +12,12 @@
 	"time"
 
 	"saltmast/internal/berths"
+	"saltmast/internal/codebook"
 	"saltmast/internal/council"
 	"saltmast/internal/drydock/sea"
 	"saltmast/internal/manifest"
 	"saltmast/internal/pilot"
+	"saltmast/internal/tally"
 )
 
 // way is one proxy with a backend beside it, on a network in memory and in virtual time.
@@ -180,3 +182,30 @@
 		}
 	})
 }
+
+// A claim that no majority can be asked for is made by another proxy, however soon that shows.
+func TestClaimByAnotherProxy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWay(t, lookup, func(io.Writer, *http.Request) {})
+		w.sea.Machine("10.0.0.9", "north") // nobody listens there
+		w.o.Council.Take(codebook.Roll{Epoch: 1, Voters: []codebook.Voter{{Addr: "10.0.0.9:1"}, {Addr: "10.0.0.9:2"}, {Addr: "10.0.0.9:3"}}})
+		m := w.sea.Machine("10.0.0.2", "north").Start()
+		l, err := m.Listen("10.0.0.2:82", 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		other := gateOf(t)
+		go other.Serve(l, func(a *ask, _ []byte) outcome { return outcome{told: told{Verdict: tally.Won}} })
+		w.Learn([]berths.Berth{{Node: "other", Addr: "10.0.0.2:82", Version: 1}})
+		for n := range uint64(20) {
+			if v, _ := w.claimAnyhow("k", tally.ID{Life: 7, N: n + 1}, claimTime); v != tally.Won {
+				t.Errorf("claim %d: verdict %d", n, v)
+			}
+			time.Sleep(time.Duration(n) * 10 * time.Millisecond)
+		}
+		w.o.Council.Close()
+		m.End()
+		other.CloseAll()
+		other.book.End()
+	})
+}
