Purser: a disk whose writes have all failed for 10 s is opened again

Damage that is found while a hold is in use is an error of each write from then on; it is known as damage, and put aside, by the next opening alone. Nothing opened it before the next start: the member refused all claims and changes, and the loss of another one stopped keys and configuration.

A purser now notes since when each write has failed with ErrDisk. After 10 s it closes the file and opens what is there beside its owner's goroutine, as after a start: nothing that it told is only in memory. Where the file is damaged it asks who counts and makes up for it from the others. It waits while a value or a repair is on its way. A purser that had a disk, or found one damaged, founds nothing on an empty one: an opening that told Damaged and failed is followed by one that tells Empty. A muster that was written to a disk given up meanwhile is not answered from the tables of the new one.

TestDiskThatGoesBad, seen to fail without the reopening and without the guard of the founding.

--- a/internal/purser/purser.go
+++ b/internal/purser/purser.go
@@ -73,6 +73,7 @@
 	begin  func(hold.Options) (disk, hold.Start, error)
 	aside  func(func() func(*books)) // does what waits beside the owner's goroutine, and queues the command that it gives
 	later  func(func(*books))        // queues a command from where nobody may wait
+	ailing atomic.Int64              // since when, by books.now and plus one, each write failed that ended; 0: the last did not
 }
 
 // disk is what a purser asks of its hold.
@@ -101,6 +102,7 @@
 	mustering bool
 	opening   bool   // the disk is being opened
 	founding  bool   // the founding is on its way to disk
+	used      bool   // a disk was in use before, or found damaged: an empty one is no beginning any more
 	closed    bool   // the purser ends
 	trouble   string // why the disk could not be opened or took no founding, as the log has it
 }
@@ -244,6 +246,7 @@
 // opened takes what was read off a disk.
 func (b *books) opened(read *books, found hold.Start, err error) {
 	b.opening = false
+	b.used = b.used || found == hold.Damaged
 	switch {
 	case err != nil:
 		if text := err.Error(); text != b.trouble {
@@ -267,7 +270,7 @@
 		} else {
 			b.set(Apart)
 		}
-	case b.p.o.Bootstrap && found == hold.Empty && len(b.p.o.Found) > 0:
+	case b.p.o.Bootstrap && !b.used && found == hold.Empty && len(b.p.o.Found) > 0:
 		b.found()
 	default:
 		b.set(NoRoll)
@@ -405,7 +408,36 @@
 		done(hold.ErrDisk)
 		return
 	}
-	b.disk.Write(puts, done)
+	b.disk.Write(puts, func(err error) {
+		if err == nil {
+			b.p.ailing.Store(0)
+		} else if errors.Is(err, hold.ErrDisk) {
+			b.p.ailing.CompareAndSwap(0, int64(b.now())+1)
+		}
+		done(err)
+	})
+}
+
+// ailsFor is how long each write may fail before the disk is closed and opened again: damage that is found while the disk is in
+// use is known as such, and put aside, only then.
+const ailsFor = 10 * time.Second
+
+// reopen closes the disk, and opens what is there as after a start. Nothing that was told is only in memory.
+func (b *books) reopen() {
+	old := b.disk
+	b.p.ailing.Store(0)
+	b.disk, b.used, b.opening = nil, true, true
+	b.set(NoDisk)
+	b.p.aside(func() func(*books) {
+		if err := old.Close(); err != nil {
+			b.p.o.Log("disk", err.Error())
+		}
+		return func(b *books) {
+			if b.opening = false; !b.closed {
+				b.open()
+			}
+		}
+	})
 }
 
 // ---- Calls ----
@@ -696,6 +728,11 @@
 	if b.disk == nil {
 		return
 	}
+	since := b.p.ailing.Load()
+	if since != 0 && b.now()-time.Duration(since-1) > ailsFor && b.state != NoDisk && !b.accepting && !b.mustering {
+		b.reopen()
+		return
+	}
 	if keys := b.ledger.Expire(b.now(), expireAtOnce); len(keys) > 0 {
 		puts := make([]hold.Put, len(keys))
 		for i, k := range keys {
--- a/internal/purser/purser_test.go
+++ b/internal/purser/purser_test.go
@@ -562,3 +562,46 @@
 		}
 	}
 }
+
+// A disk that fails each write for long is opened again, as after a start: where it turns out damaged, the member has to make up
+// for it, and founds nothing though it began with the very first start. One that is well again is used on.
+func TestDiskThatGoesBad(t *testing.T) {
+	for _, damaged := range []bool{true, false} {
+		d := founded(t)
+		claim := func(n uint64, err error) (a *answered) {
+			a = d.call(codebook.Claim, codebook.ClaimCall{Key: fmt.Sprint("k", n), ID: id(n), Epoch: 1})
+			if len(d.paper.waits) > 0 {
+				d.paper.sync(err)
+			}
+			return a
+		}
+		claim(1, nil)
+		for n := range uint64(4) {
+			claim(2+n, hold.ErrDisk)
+			d.begun = d.begun.Add(-ailsFor / 4)
+			if n == 3 && damaged {
+				d.paper, d.as = newPaper(), hold.Damaged
+			}
+			if d.tick(); n < 3 && (d.state != Serving || d.ledger.Len() != int(2+n)) {
+				t.Fatalf("%s with %d keys after %d failures", d.state, d.ledger.Len(), n+1)
+			}
+		}
+		d.settle()
+		again := claim(1, nil)
+		switch {
+		case damaged && (d.state != NoRoll || plight.Of(again.err) != plight.CoreOut):
+			t.Errorf("%s with a damaged disk, a claim: %v", d.state, again.err)
+		case !damaged && (d.state != Serving || d.ledger.Len() != 1 || !again.grant(t).Given):
+			t.Errorf("%s with %d keys", d.state, d.ledger.Len())
+		}
+	}
+	// What was found damaged and could not be put aside is empty at the next look.
+	d := newDesk(t, Options{Bootstrap: true, Found: voters})
+	begin := d.p.begin
+	d.p.begin = func(hold.Options) (disk, hold.Start, error) { return nil, hold.Damaged, hold.ErrFull }
+	d.open()
+	d.p.begin = begin
+	if d.tick(); d.state != NoRoll {
+		t.Errorf("%s behind a damaged disk", d.state)
+	}
+}
--- a/internal/purser/repair.go
+++ b/internal/purser/repair.go
@@ -58,7 +58,13 @@
 			reply(c, nil, err)
 			return
 		}
-		b.p.later(func(b *books) { c.Reply(b.tell(m), nil) })
+		b.p.later(func(b *books) {
+			if b.state != Serving { // its own disk was given up meanwhile
+				c.Reply(nil, plight.New(plight.Repairing, ""))
+				return
+			}
+			c.Reply(b.tell(m), nil)
+		})
 	})
 	return nil
 }
