Harbour: what a call is refused for is made to stand before it is refused

A call was answered 400 for what a round had read, though that might stand with one member alone: a change of another operator on its way. Where that member was then lost, the next round went on from the highest value that was left. This could be one that a first round of the refused call, or the same call at another harbourmaster, had left with another single member: what had been refused came into force. A call in conflict by its version was settled first already.

Now both are: the round has the value that it read accepted by a majority, and the call is refused once that is so; else it is answered 503. The values left before have lower ballots, and can't be chosen any more.

TestRefusedStaysRefused: three voters in memory, two single values, one voter silent after the other; seen to fail.

--- a/internal/harbour/harbour.go
+++ b/internal/harbour/harbour.go
@@ -736,13 +736,17 @@
 		return err
 	}
 	o := ballot.Apply(base, items, b)
-	if o.Against == nil && len(o.Changes) > 0 {
+	var refused error
+	switch {
+	case o.Against != nil:
+		refused = plight.New(plight.Conflict, "%s", o.Against)
+	case len(o.Changes) > 0:
 		// A base that is invalid already, of two calls at once that were valid each, holds up nobody else's call.
 		if err := o.Next.Check(); err != nil && base.Check() == nil {
-			return plight.New(plight.Invalid, "%w", err)
+			refused = plight.New(plight.Invalid, "%w", err)
 		}
 	}
-	if o.Against != nil {
+	if refused != nil { // what it is refused for is to stand: else a value that a round before has left may come into force after all
 		o.Next, o.Changes = base, nil
 	}
 	if !(stands && len(o.Changes) == 0) {
@@ -752,10 +756,7 @@
 	} else {
 		h.own.Ask(func(t *books) { t.whole(of, base) })
 	}
-	if o.Against != nil {
-		return plight.New(plight.Conflict, "%s", o.Against)
-	}
-	return nil
+	return refused
 }
 
 // settle has a value accepted by a majority, and takes it.
--- a/internal/harbour/harbour_test.go
+++ b/internal/harbour/harbour_test.go
@@ -1,14 +1,22 @@
 package harbour
 
 import (
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"saltmast/internal/ballot"
 	"saltmast/internal/berths"
 	"saltmast/internal/codebook"
 	"saltmast/internal/council"
+	"saltmast/internal/drydock/sea"
 	"saltmast/internal/manifest"
+	"saltmast/internal/plight"
+	"saltmast/internal/signal"
 )
 
 // ashore is a harbour without goroutines, sockets or members.
@@ -69,3 +77,103 @@
 	}
 	<-h.round
 }
+
+// voter is a member of those that count, in memory alone.
+type voter struct {
+	mu   sync.Mutex
+	acc  *ballot.Acceptor
+	by   int
+	mute bool
+}
+
+func (v *voter) handle(c signal.Call) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	vouch := ballot.Vouch{By: v.by, Incs: []uint64{1, 1, 1}}
+	var p codebook.PrepareCall
+	var a codebook.AcceptCall
+	switch {
+	case v.mute:
+	case c.Kind == codebook.Prepare && signal.Decode(c.Body, &p) == nil:
+		m := ballot.Promise{Vouch: vouch, Given: v.acc.Prepare(p.B), Promised: v.acc.Promised, Accepted: v.acc.Accepted}
+		m.Items = slices.Collect(maps.Values(v.acc.Value))
+		c.Reply(m, nil)
+	case c.Kind == codebook.Accept && signal.Decode(c.Body, &a) == nil:
+		taken := v.acc.May(a.B, a.Base)
+		if taken {
+			v.acc.Accept(a.B, v.acc.Next(a.Changes, a.Base.IsZero()))
+		}
+		c.Reply(codebook.Accepted{Vouch: vouch, Taken: taken, Promised: v.acc.Promised, Accepted: v.acc.Accepted}, nil)
+	}
+}
+
+// A call that is refused for what another one left with a single member does not come into force when that member is gone,
+// though its own first round had left it with another.
+func TestRefusedStaysRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := sea.New(1)
+		p := s.Machine("10.0.0.1", "north").Start()
+		ballotOf := func(n uint64) manifest.Ballot { return manifest.Ballot{N: n, By: 9} }
+		call := func(n uint64, text string) (items []manifest.Item) {
+			c, err := manifest.DecodeCall([]byte(`{"upsert":{"resources":[` + text + `]}}`))
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, i := range c.Items {
+				i.Ballot = ballotOf(n)
+				items = append(items, i)
+			}
+			return items
+		}
+		route := func(name string) string {
+			return `{"resource-kind":"routes","metadata":{"name":"` + name + `","version":"r1"},"specification":` +
+				`{"host":"h","path-prefix":"/a/","route-kind":"idempotent","deadline-s":1,"target-s":1,"service":"s","max-attempts":1}}`
+		}
+		base := manifest.Set{}
+		for _, i := range call(5, `{"resource-kind":"services","metadata":{"name":"s","version":"r1"},"specification":{}}`) {
+			base.Join(i)
+		}
+		ours, theirs := call(6, route("ours")), call(7, route("theirs"))
+		h, b := ashore(t)
+		h.council = council.New(p)
+		b.raise(ballotOf(7))
+		h.own = signal.Own(b, 16)
+		roll := codebook.Roll{Epoch: 1}
+		var voters []*voter
+		var servers []*signal.Server
+		for n, left := range [][]manifest.Item{ours, theirs, nil} {
+			addr := fmt.Sprintf("10.0.0.1:%d", n+1)
+			l, err := p.Listen(addr, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			v := &voter{acc: ballot.NewAcceptor(), by: n}
+			v.acc.Accept(ballotOf(5), base)
+			if left != nil {
+				v.acc.Accept(left[0].Ballot, v.acc.Next(left, false))
+			}
+			voters, servers = append(voters, v), append(servers, signal.Serve(l, v.handle))
+			roll.Voters = append(roll.Voters, codebook.Voter{Addr: addr})
+		}
+		h.council.Take(roll)
+		voters[0].mute = true
+		if k := plight.Of(h.propose(ours)); k != plight.Invalid {
+			t.Errorf("beside theirs: %v", k)
+		}
+		voters[0].mute, voters[1].mute = false, true
+		if err := h.propose(nil); err != nil {
+			t.Error(err)
+		}
+		h.own.Ask(func(b *books) {
+			if _, ok := b.stands[ours[0].Key]; ok {
+				t.Error("what was refused is in force")
+			}
+		})
+		h.council.Close()
+		for _, s := range servers {
+			s.Close()
+		}
+		h.own.End()
+		p.End()
+	})
+}
