--- a/cmd/latchkit/drydock.go
+++ b/cmd/latchkit/drydock.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -25,7 +26,7 @@
 	days, jobs          int
 	plays, trials       int
 	kind, variant, flaw string
-	json, floor         bool
+	json, floor, quiet  bool
 }
 
 func drydockCommand() *cobra.Command {
@@ -53,10 +54,11 @@
 	fl.Uint64Var(&f.seed, "seed", 1, "the first seed")
 	fl.IntVar(&f.days, "days", len(drydock.Days), "how many days; of all kinds in turn, each kind by its seed, the next and so on")
 	fl.StringVar(&f.kind, "kind", "", "one kind of day: "+strings.Join(kinds, ", "))
-	fl.StringVar(&f.variant, "variant", "", "play the variant in this JSON `file`, as --json prints the smallest, again and again")
+	fl.StringVar(&f.variant, "variant", "", "play the variant in this JSON `file`, as --json prints the smallest, again and again; from --seed on if given")
 	fl.IntVar(&f.jobs, "jobs", runtime.GOMAXPROCS(0), "days at once")
 	fl.BoolVar(&f.json, "json", false, "print a JSON line for each day, and for the smallest")
 	fl.BoolVar(&f.floor, "floor", false, "hold each kind to the part of requests that it is to serve, too")
+	fl.BoolVar(&f.quiet, "quiet", false, "print what broke and the verdict alone")
 	fl.IntVar(&f.plays, "plays", 4, "plays of each smaller day: two plays of a seed are not equal")
 	fl.IntVar(&f.trials, "trials", 250, "plays of smaller days at the most; 0: look for none")
 	fl.StringVar(&f.flaw, "flaw", "", "spoil the world: "+strings.Join(slices.Sorted(maps.Keys(drydock.Spoilt)), ", "))
@@ -64,7 +66,6 @@
 		panic(err)
 	}
 	c.MarkFlagsMutuallyExclusive("variant", "kind")
-	c.MarkFlagsMutuallyExclusive("variant", "seed")
 	return c
 }
 
@@ -78,7 +79,7 @@
 	if f.flaw != "" && !known {
 		return usage(fmt.Errorf("--flaw: no flaw is named %q", f.flaw))
 	}
-	days, err := f.drawn()
+	days, err := f.drawn(cmd.Flags().Changed("seed"))
 	if err != nil {
 		return usage(err)
 	}
@@ -92,7 +93,8 @@
 	return other(err)
 }
 
-func (f *drydockFlags) drawn() ([]drydock.Variant, error) {
+// drawn are the days to play. on: a variant is played by its seed and those behind it.
+func (f *drydockFlags) drawn(on bool) ([]drydock.Variant, error) {
 	if f.variant == "" {
 		days, err := drydock.Drawn(f.seed, f.days, f.kind, f.floor)
 		if err != nil {
@@ -108,19 +110,28 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", f.variant, err)
 	}
-	return slices.Repeat([]drydock.Variant{v}, f.days), nil
+	days := slices.Repeat([]drydock.Variant{v}, f.days)
+	for i := range days {
+		if on {
+			days[i].Seed = f.seed + uint64(i)
+		}
+	}
+	return days, nil
 }
 
 // hunt plays the days and reports whether a rule broke.
 func (f *drydockFlags) hunt(cmd *cobra.Command, h drydock.Hunter, days []drydock.Variant) bool {
 	ctx, out, notes := cmd.Context(), cmd.OutOrStdout(), cmd.ErrOrStderr()
-	n := 0
+	begun, n := time.Now(), 0
 	bad := h.All(ctx, days, func(o drydock.Outcome) {
 		n++
 		if f.json {
 			drydockLine(out, o)
 			return
 		}
+		if f.quiet && len(o.Broken) == 0 {
+			return
+		}
 		verdict := "kept"
 		if len(o.Broken) > 0 {
 			verdict = "BROKEN " + o.Broken[0].Rule
@@ -129,7 +140,7 @@
 	})
 	if bad == nil {
 		if !f.json {
-			fmt.Fprintf(out, "%d days, no rule broken\n", n)
+			fmt.Fprintf(out, "%d days, no rule broken, in %.0f s\n", n, time.Since(begun).Seconds())
 		}
 		return false
 	}
