--- a/internal/drydock/days.go
+++ b/internal/drydock/days.go
@@ -392,9 +392,21 @@
 		case what < 3 && !coreBusy:
 			coreBusy = true
 			c, rest := w.core[r.IntN(3)], 5*time.Second // it counts as lost for a while after it is back
-			kind, ill := r.IntN(7), int32(1+r.IntN(3))
-			begin([]string{"kill", "wipe, kill", "cut", "freeze", "power", "slow", "disk"}[kind]+" "+c.name, rest, func() {
+			kind, ill := r.IntN(9), int32(1+r.IntN(3))
+			begin([]string{"kill", "wipe, kill", "cut", "freeze", "power", "slow", "disk", "lossy", "narrow"}[kind]+" "+c.name, rest, func() {
 				switch kind {
+				case 8:
+					over := w.trouble("narrow", c.name, true)
+					w.sea.Narrow(c.m, 200_000)
+					time.Sleep(took)
+					w.sea.Narrow(c.m, 0)
+					over()
+				case 7:
+					over := w.trouble("lossy", c.name, true)
+					w.sea.Lossy(c.m, 0.08)
+					time.Sleep(took)
+					w.sea.Lossy(c.m, 0)
+					over()
 				case 6:
 					over := w.trouble("disk", c.name, true)
 					c.ill.Store(ill)
