--- a/internal/drydock/shrink.go
+++ b/internal/drydock/shrink.go
@@ -95,7 +95,7 @@
 		all := keys()
 		for part := range slices.Chunk(all, size) {
 			what := "without " + part[0]
-			if size > 1 {
+			if len(part) > 1 {
 				what = fmt.Sprintf("without %d steps from %s", len(part), part[0])
 			}
 			try(what, func(v *Variant) { v.Without = append(v.Without, part...) })
@@ -113,11 +113,16 @@
 
 func (s *Shrink) is(b surveyor.Broken) bool { return b.Rule == s.Rule }
 
+// broke reports whether a play broke the rule. Where no client comes nobody is served, which proves nothing.
+func (s *Shrink) broke(o Outcome) bool {
+	return !(o.empty && s.Rule == "SERVED") && slices.ContainsFunc(o.Broken, s.is)
+}
+
 // breaks plays a candidate until the rule breaks.
 func (s *Shrink) breaks(v Variant) (o Outcome, ok bool) {
 	for left := s.Plays; left > 0 && !ok; left -= s.Jobs {
 		for _, x := range s.side(v, min(left, s.Jobs)) {
-			if !x.empty && slices.ContainsFunc(x.Broken, s.is) {
+			if s.broke(x) {
 				o, ok = x, true
 			}
 		}
@@ -130,7 +135,7 @@
 	for of = 0; of < 3*s.Plays && (broke == 0 || of < s.Plays); {
 		for _, x := range s.side(v, min(s.Plays, s.Jobs)) {
 			of++
-			if !x.empty && slices.ContainsFunc(x.Broken, s.is) {
+			if s.broke(x) {
 				broke++
 			}
 		}
