--- a/cmd/latchkit/main.go
+++ b/cmd/latchkit/main.go
@@ -91,7 +91,7 @@
 		RunE: func(cmd *cobra.Command, args []string) error { return cmd.Help() },
 	}
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
-	c.AddCommand(rehearseCommand(), gradeCommand(), proveCommand(), capacityCommand(), measureCommand(), settlesCommand(), recordingCommand(), replayCommand(), labCommand(), fleetCommand(), peersCommand(), drydockCommand(),
+	c.AddCommand(rehearseCommand(), gradeCommand(), proveCommand(), capacityCommand(), measureCommand(), settlesCommand(), recordingCommand(), replayCommand(), labCommand(), fleetCommand(), peersCommand(), drydockCommand(), voyageCommand(),
 		&cobra.Command{Use: "peer KIND LISTEN SERVER", Hidden: true, Short: "run as a proxy to measure against", Args: cobra.ExactArgs(3),
 			RunE: func(_ *cobra.Command, args []string) error { return other(measure.Peer(args[0], args[1], args[2])) }},
 		&cobra.Command{Use: "naive KIND", Hidden: true, Short: "run as an agent with a flaw", Args: cobra.ExactArgs(1),
--- a/internal/gangway/loss_test.go
+++ b/internal/gangway/loss_test.go
@@ -13,6 +13,7 @@
 	"saltmast/internal/berths"
 	"saltmast/internal/pilot"
 	"saltmast/internal/plight"
+	"saltmast/internal/ration"
 )
 
 // Each request that was not answered within its target is put down to one cause. The target is 100.
@@ -66,8 +67,14 @@
 // What a proxy counts of requests that it saw to their ends.
 func TestLossesAreCounted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		took, status := time.Duration(0), 200
+		took, status, first := time.Duration(0), 200, time.Duration(-1)
 		w := newWay(t, strings.Replace(lookup, `"target-s":30`, `"target-s":1`, 1), func(w io.Writer, r *http.Request) {
+			if first >= 0 { // fails, after that time
+				time.Sleep(first)
+				first = -1
+				serves(w, r, 500, 3)
+				return
+			}
 			time.Sleep(took) // of the bubble's time
 			serves(w, r, status, 3)
 		})
@@ -103,6 +110,14 @@
 		status = 200
 		ask("GET /b/1 HTTP/1.1", nil, "refused_client")
 		ask("PUT /a/1 HTTP/1.1\nContent-Length: 9", func(c net.Conn) { c.Write([]byte("x")); c.Close() }, "failed_client_gone")
+		ask("PUT /a/1 HTTP/1.1\nContent-Length: 900000", func(c net.Conn) { c.Write(make([]byte, 80000)); c.Close() }, "failed_client_gone", missed)
+		took, first = 999*time.Millisecond, 0
+		ask(get, nil, "late_backoff", missed)
+		took, first = 500*time.Millisecond, 800*time.Millisecond
+		ask(get, nil, "late_backend", missed)
+		w.helm.Ask(func(h *Helm) { h.Allowance, h.Ratio, h.rations = 0, 0, map[string]*ration.Ration{} })
+		first = 0
+		ask(get, nil, "failed_ration", missed)
 		took = 1001 * time.Millisecond
 		w.Gate.Beat(pilot.Beat{ID: "i-2", Service: "ledger", Capacity: 2, Count: 1, State: berths.Serving, Warm: time.Minute})
 		ask(get, nil, "late_cold_backend", missed)
