Relief: a room that decides how one roll of those that count follows another

Need: the roll is founded once; a voter that is gone for good could not be replaced.

The successor is one decree an epoch, by ballots among the old voters. To accept one is to be sealed: nothing is promised, accepted or granted in the old epoch from then on, so that no round between "chosen" and "sealed" is needed. A new voter speaks once it holds what a sealed majority of the old held, or what one holds that speaks in the new epoch already. Weighed: joining the two rounds of deciding and sealing into one saves a sync and a trip of the pause; its price is that a voter sealed by a proposer that died grants nothing until the change is finished.

Found by the walk of the space: two new voters may inherit different accepted values of the register, of which the lower must not be taken for chosen because two hold it. A promise tells that its value is of a former epoch, and such a value is a base and no vote.

--- a/internal/ballot/ballot.go
+++ b/internal/ballot/ballot.go
@@ -117,7 +117,8 @@
 	Given    bool            `cbor:"2,keyasint"`
 	Promised manifest.Ballot `cbor:"3,keyasint"` // that stands in the way where it was not given
 	Accepted manifest.Ballot `cbor:"4,keyasint"`
-	Items    []manifest.Item `cbor:"5,keyasint"` // the accepted value, whole
+	Items    []manifest.Item `cbor:"5,keyasint"`           // the accepted value, whole
+	Former   bool            `cbor:"6,keyasint,omitempty"` // accepted in a former epoch: a base, and no vote in this one
 }
 
 // Round gathers the promises to one ballot.
@@ -155,11 +156,15 @@
 		if !slices.ContainsFunc(sound, func(v Vouch) bool { return v.By == p.Vouch.By }) {
 			continue
 		}
+		vote := 1
+		if p.Former {
+			vote = 0
+		}
 		switch {
 		case of == p.Accepted:
-			same++
+			same += vote
 		case of.Less(p.Accepted):
-			of, same = p.Accepted, 1
+			of, same = p.Accepted, vote
 			base = manifest.Set{}
 			for _, i := range p.Items {
 				base[i.Key] = i
--- a/internal/codebook/codebook.go
+++ b/internal/codebook/codebook.go
@@ -11,6 +11,7 @@
 	"saltmast/internal/berths"
 	"saltmast/internal/duty"
 	"saltmast/internal/manifest"
+	"saltmast/internal/relief"
 	"saltmast/internal/tally"
 )
 
@@ -53,28 +54,11 @@
 	Lease                    // to pursers: LeaseCall, Leased
 )
 
-// Voter is a member of those that count: where its purser is.
-type Voter struct {
-	Name string `cbor:"1,keyasint"`
-	Addr string `cbor:"2,keyasint"` // host:port of its purser
-	Zone string `cbor:"3,keyasint"`
-}
-
-// Roll is the list of those that count, of one epoch.
-type Roll struct {
-	Epoch  uint64  `cbor:"1,keyasint"`
-	Voters []Voter `cbor:"2,keyasint"`
-}
-
-// Place is the place of the voter at addr; -1: it does not count.
-func (r Roll) Place(addr string) int {
-	for i, v := range r.Voters {
-		if v.Addr == addr {
-			return i
-		}
-	}
-	return -1
-}
+// Voter is a member of those that count, and Roll the list of them.
+type (
+	Voter = relief.Voter
+	Roll  = relief.Roll
+)
 
 // PrepareCall asks for the promise to take no ballot below B.
 type PrepareCall struct {
--- /dev/null
+++ b/internal/relief/relief.go
@@ -0,0 +1,205 @@
+// Package relief hands the work of those that count over to others: the end of one epoch and the beginning of the next. It is
+// pure: a Seal is an old voter's part, a Round what a proposer gathers, Enough and Inherit what a new voter makes of the books
+// that old ones handed over.
+//
+// Who comes next is one decree an epoch, agreed by ballots among the old voters (Paxos). To accept one is to be sealed: an old
+// voter that did, on disk, promises, accepts and grants nothing more in its epoch, so that with the successor chosen a majority
+// has fallen silent for good. A new voter speaks in the new epoch once it has on disk what a majority of sealed old ones held.
+// Hence nothing can be won in the new epoch before a majority of the new holds it, and no further round begins the epoch.
+package relief
+
+import (
+	"slices"
+
+	"saltmast/internal/ballot"
+	"saltmast/internal/manifest"
+)
+
+// Voter is a member of those that count: where its purser is.
+type Voter struct {
+	Name string `cbor:"1,keyasint"`
+	Addr string `cbor:"2,keyasint"` // host:port of its purser
+	Zone string `cbor:"3,keyasint"`
+	Disk uint64 `cbor:"4,keyasint,omitempty"` // of the disk that may take the office over; 0: it makes up for a lost one instead
+}
+
+// Roll is the list of those that count, of one epoch.
+type Roll struct {
+	Epoch  uint64  `cbor:"1,keyasint"`
+	Voters []Voter `cbor:"2,keyasint"`
+	Was    []Voter `cbor:"3,keyasint,omitempty"` // of the epoch before, who hand over
+}
+
+// Place is the place of the voter at addr; -1: it does not count.
+func (r Roll) Place(addr string) int {
+	return slices.IndexFunc(r.Voters, func(v Voter) bool { return v.Addr == addr })
+}
+
+// Same reports whether both have the same voters of the same epoch, whatever their disks.
+func (r Roll) Same(o Roll) bool {
+	return r.Epoch == o.Epoch && slices.EqualFunc(r.Voters, o.Voters, func(x, y Voter) bool { return x.Addr == y.Addr })
+}
+
+// Seal is an old voter's part in the end of its epoch. The zero value has promised nothing.
+type Seal struct {
+	Promised manifest.Ballot `cbor:"1,keyasint"` // no lower ballot is taken
+	Accepted manifest.Ballot `cbor:"2,keyasint"` // of Next
+	Next     Roll            `cbor:"3,keyasint"`
+}
+
+// Shut reports whether the epoch has ended for this voter.
+func (s *Seal) Shut() bool { return !s.Accepted.IsZero() }
+
+// Prepare takes the promise to take nothing lower than b, and reports whether it was given. It counts once it is on disk.
+func (s *Seal) Prepare(b manifest.Ballot) bool {
+	if b.Less(s.Promised) {
+		return false
+	}
+	s.Promised = b
+	return true
+}
+
+// Accept accepts a successor, and reports whether it did. From then on nothing is granted; it counts once it is on disk.
+func (s *Seal) Accept(b manifest.Ballot, next Roll) bool {
+	if b.Less(s.Promised) {
+		return false
+	}
+	s.Promised, s.Accepted, s.Next = b, b, next
+	return true
+}
+
+// Learn takes what another voter had promised and accepted, for a voter that lost its disk.
+func (s *Seal) Learn(o Seal) {
+	if s.Promised.Less(o.Promised) {
+		s.Promised = o.Promised
+	}
+	if s.Accepted.Less(o.Accepted) {
+		s.Accepted, s.Next = o.Accepted, o.Next
+	}
+}
+
+// Answer is one old voter's answer to a proposer.
+type Answer struct {
+	Vouch ballot.Vouch `cbor:"1,keyasint"`
+	Given bool         `cbor:"2,keyasint"` // promised, or accepted
+	Seal  Seal         `cbor:"3,keyasint"`
+}
+
+// Round gathers the answers to one ballot.
+type Round struct {
+	Voters   int             // of the old epoch
+	Higher   manifest.Ballot // the highest that stood in the way
+	promises []Answer
+	accepts  []ballot.Vouch
+}
+
+// Promise takes an answer to a Prepare. Of one voter only the first counts.
+func (r *Round) Promise(a Answer) {
+	r.raise(a.Seal.Promised)
+	if a.Given && !slices.ContainsFunc(r.promises, func(o Answer) bool { return o.Vouch.By == a.Vouch.By }) {
+		r.promises = append(r.promises, a)
+	}
+}
+
+// Base is the successor that has to be proposed, once enough was promised; bound is false where the proposer is free.
+func (r *Round) Base() (next Roll, bound, ok bool) {
+	var vs []ballot.Vouch
+	for _, a := range r.promises {
+		vs = append(vs, a.Vouch)
+	}
+	sound := ballot.Sound(vs)
+	if len(sound) < ballot.Majority(r.Voters) {
+		return next, false, false
+	}
+	var of manifest.Ballot
+	for _, a := range r.promises {
+		told := slices.ContainsFunc(sound, func(v ballot.Vouch) bool { return v.By == a.Vouch.By })
+		if told && of.Less(a.Seal.Accepted) {
+			of, next = a.Seal.Accepted, a.Seal.Next
+		}
+	}
+	return next, !of.IsZero(), true
+}
+
+// Accept takes an answer to the proposal itself, and reports whether the successor is chosen.
+func (r *Round) Accept(a Answer) bool {
+	r.raise(a.Seal.Promised)
+	if a.Given {
+		r.accepts = append(r.accepts, a.Vouch)
+	}
+	return len(ballot.Sound(r.accepts)) >= ballot.Majority(r.Voters)
+}
+
+func (r *Round) raise(b manifest.Ballot) {
+	if r.Higher.Less(b) {
+		r.Higher = b
+	}
+}
+
+// Estate is what one voter hands over, other than its claims of keys.
+type Estate struct {
+	Vouch    ballot.Vouch    `cbor:"1,keyasint"`
+	Holds    bool            `cbor:"2,keyasint"` // it speaks in the new epoch already; else it is sealed in the old one
+	Promised manifest.Ballot `cbor:"3,keyasint"`
+	Accepted manifest.Ballot `cbor:"4,keyasint"`
+	Chosen   manifest.Ballot `cbor:"5,keyasint"`
+}
+
+// Enough says which of the estates a new voter takes over: that of one who speaks in the new epoch already, whose books have
+// all that was won in the old, or those of a majority of the old, all sealed. nil: more are wanted.
+func Enough(voters int, told []Estate) (take []int) {
+	var vs []ballot.Vouch
+	for i, e := range told {
+		if e.Holds {
+			return []int{i}
+		}
+		vs = append(vs, e.Vouch)
+	}
+	sound := ballot.Sound(vs)
+	if len(sound) < ballot.Majority(voters) {
+		return nil
+	}
+	for _, v := range sound {
+		take = append(take, slices.IndexFunc(told, func(e Estate) bool { return e.Vouch.By == v.By && slices.Equal(e.Vouch.Incs, v.Incs) }))
+	}
+	return take
+}
+
+// Inherit is the register that a new voter begins with: the highest promise, the highest accepted value, which is that of the
+// estate at, and what is known to be chosen. The value was accepted in a former epoch: two new voters may have inherited
+// different ones, so that it is what rounds are built on, and is chosen by count only once it was accepted anew.
+func Inherit(told []Estate, take []int) (promised, accepted, chosen manifest.Ballot, at int) {
+	at = take[0]
+	for _, i := range take {
+		e := told[i]
+		if promised.Less(e.Promised) {
+			promised = e.Promised
+		}
+		if accepted.Less(e.Accepted) {
+			accepted, at = e.Accepted, i
+		}
+	}
+	for _, i := range take {
+		if told[i].Chosen == accepted {
+			chosen = accepted
+		}
+	}
+	return promised, accepted, chosen, at
+}
+
+// Replace is the roll with the voter of a place replaced by one of the candidates, of the same zone first. ok is false where
+// there is none: a roll never shrinks by silence alone.
+func Replace(r Roll, place int, candidates []Voter) (voters []Voter, ok bool) {
+	best := -1
+	for i, c := range candidates {
+		if r.Place(c.Addr) < 0 && (best < 0 || c.Zone == r.Voters[place].Zone && candidates[best].Zone != c.Zone) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil, false
+	}
+	voters = slices.Clone(r.Voters)
+	voters[place] = candidates[best]
+	return voters, true
+}
