Roll: voters are replaced, on the operator's word or after long silence

Need: who counts was founded once; a voter gone for good left two of three for ever, of which no further one could be lost.

Pursers promise and accept a successor, by which they are sealed; hand their books over; take over by themselves as soon as they hear from anybody that a roll is chosen, where they are on the disk that the roll names, and else make up for the disk as before. Relieved ones keep their books for those that take over. Leases begin anew with an epoch. Harbourmasters propose, finish what was left in the middle (duty "roll"), tell whoever slept through it, and take a newer roll from watches and from each other. A proxy that hears "gone" asks that member who counts and claims again under the same id. The call Rolls takes the operator's word, with a dry run; a voter that nobody heard for 5 minutes is replaced by a machine that stands apart and is well.

Nothing is written or sent for it while the roll stays: new fields are left out where they are empty.

--- a/internal/codebook/codebook.go
+++ b/internal/codebook/codebook.go
@@ -42,16 +42,21 @@
 
 // Kinds of calls.
 const (
-	Prepare uint8 = 1 + iota // to pursers: PrepareCall, ballot.Promise
-	Accept                   // AcceptCall, Accepted
-	Learn                    // LearnCall, Accepted
-	Watch                    // WatchCall, Watched
-	Claim                    // ClaimCall, tally.Grant
-	Release                  // ReleaseCall, nothing
-	Muster                   // MusterCall, Mustered: from a member that lost its disk
-	Pull                     // to harbourmasters: PullCall, News
-	Report                   // to any program: nothing, what it knows
-	Lease                    // to pursers: LeaseCall, Leased
+	Prepare  uint8 = 1 + iota // to pursers: PrepareCall, ballot.Promise
+	Accept                    // AcceptCall, Accepted
+	Learn                     // LearnCall, Accepted
+	Watch                     // WatchCall, Watched
+	Claim                     // ClaimCall, tally.Grant
+	Release                   // ReleaseCall, nothing
+	Muster                    // MusterCall, Mustered: from a member that lost its disk
+	Pull                      // to harbourmasters: PullCall, News
+	Report                    // to any program: nothing, what it knows
+	Lease                     // to pursers: LeaseCall, Leased
+	Ready                     // ReadyCall, Readied: before a change of the roll
+	Succeed                   // SucceedCall, relief.Answer: who counts next
+	Relieve                   // RelieveCall, Relieved: a roll that is chosen
+	Handover                  // HandoverCall, Handed: from a voter that takes over
+	Rolls                     // to harbourmasters: RollsCall, RollsTold: the operator's word
 )
 
 // Voter is a member of those that count, and Roll the list of them.
@@ -105,6 +110,7 @@
 	Roll     Roll            `cbor:"6,keyasint"`
 	State    string          `cbor:"7,keyasint"` // serving, repairing, without disk, apart
 	Keys     int             `cbor:"8,keyasint"`
+	Shut     bool            `cbor:"9,keyasint,omitempty"` // sealed: a change of the roll is under way
 }
 
 // ClaimCall claims a key.
@@ -138,6 +144,69 @@
 	Claims   []ClaimCall     `cbor:"6,keyasint"`
 	More     bool            `cbor:"7,keyasint"`
 	Roll     Roll            `cbor:"8,keyasint"`
+	Former   bool            `cbor:"9,keyasint,omitempty"` // the value was accepted in a former epoch
+	Seal     *relief.Seal    `cbor:"10,keyasint,omitempty"`
+}
+
+// ReadyCall asks a purser how it stands, and for the number of its disk, which it puts there where it has none yet.
+type ReadyCall struct {
+	Dry bool `cbor:"1,keyasint"` // no number is wanted
+}
+
+// Readied answers a ReadyCall.
+type Readied struct {
+	State string `cbor:"1,keyasint"`
+	Epoch uint64 `cbor:"2,keyasint"`
+	Disk  uint64 `cbor:"3,keyasint"` // 0: it may not take an office over
+}
+
+// SucceedCall asks an old voter for a promise, or to accept a successor of its roll.
+type SucceedCall struct {
+	Epoch uint64          `cbor:"1,keyasint"` // that ends
+	B     manifest.Ballot `cbor:"2,keyasint"`
+	Next  *Roll           `cbor:"3,keyasint,omitempty"` // nil: a promise
+}
+
+// RelieveCall tells a roll that is chosen. A voter of it answers once it speaks in the new epoch.
+type RelieveCall struct {
+	Roll Roll `cbor:"1,keyasint"`
+}
+
+// Relieved answers a RelieveCall.
+type Relieved struct {
+	State string `cbor:"1,keyasint"`
+	Epoch uint64 `cbor:"2,keyasint"`
+}
+
+// HandoverCall asks for the books of the epoch before, from a voter that takes over.
+type HandoverCall struct {
+	Epoch uint64 `cbor:"1,keyasint"` // that begins
+	From  string `cbor:"2,keyasint"` // claims of keys after this one
+}
+
+// Handed answers a HandoverCall.
+type Handed struct {
+	Estate relief.Estate   `cbor:"1,keyasint"`
+	Former bool            `cbor:"2,keyasint,omitempty"`
+	Items  []manifest.Item `cbor:"3,keyasint"` // the accepted value
+	Claims []ClaimCall     `cbor:"4,keyasint"`
+	More   bool            `cbor:"5,keyasint"`
+}
+
+// RollsCall asks a harbourmaster for another roll: all voters, or some of them replaced, each by the name of its node or by an
+// address of its machine.
+type RollsCall struct {
+	Voters  []string    `cbor:"1,keyasint,omitempty"`
+	Replace [][2]string `cbor:"2,keyasint,omitempty"` // old, new
+	Dry     bool        `cbor:"3,keyasint"`           // tells what would be done
+}
+
+// RollsTold answers a RollsCall.
+type RollsTold struct {
+	Was    Roll   `cbor:"1,keyasint"`
+	Roll   Roll   `cbor:"2,keyasint"` // that is in force, or would be
+	Why    string `cbor:"3,keyasint"` // it is not; "": it is, or would be
+	TookMs uint32 `cbor:"4,keyasint"`
 }
 
 // Master is a harbourmaster.
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -4,9 +4,11 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"saltmast/internal/codebook"
+	"saltmast/internal/manifest"
 	"saltmast/internal/plight"
 	"saltmast/internal/signal"
 	"saltmast/internal/sock"
@@ -18,10 +20,13 @@
 	mu      sync.Mutex
 	roll    codebook.Roll
 	clients []*signal.Client
+	newer   chan struct{} // closed when a newer roll is taken
+
+	learning atomic.Bool
 }
 
 // New returns one that knows of nobody. n: nil for the system's network.
-func New(n sock.Net) *Council { return &Council{net: n} }
+func New(n sock.Net) *Council { return &Council{net: n, newer: make(chan struct{})} }
 
 // Roll is the newest roll.
 func (c *Council) Roll() codebook.Roll {
@@ -53,9 +58,57 @@
 	for _, cl := range old {
 		cl.Close()
 	}
+	close(c.newer)
+	c.newer = make(chan struct{})
 	return true
 }
 
+// Newer is closed once there is a newer roll than that of epoch.
+func (c *Council) Newer(epoch uint64) <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.roll.Epoch > epoch {
+		over := make(chan struct{})
+		close(over)
+		return over
+	}
+	return c.newer
+}
+
+const (
+	learnTime = 250 * time.Millisecond
+	againTime = 20 * time.Millisecond
+)
+
+// Learn asks the voter of a place, which said that an epoch has ended, who counts now. It holds the call until it knows. One
+// such call is under way at a time.
+func (c *Council) Learn(place int, epoch uint64) {
+	cl := c.Client(place)
+	if cl == nil || !c.learning.CompareAndSwap(false, true) {
+		return
+	}
+	call := codebook.WatchCall{Have: manifest.Ballot{N: 1 << 62}, HoldMs: uint32(learnTime.Milliseconds()), Epoch: epoch}
+	go func() {
+		defer c.learning.Store(false)
+		var w codebook.Watched
+		if cl.Call(codebook.Watch, call, &w, 2*learnTime) == nil {
+			c.Take(w.Roll)
+		}
+	}()
+}
+
+// Await waits after a vote that failed since an epoch had ended, until a newer roll is known or for a moment: members of the
+// newest may have yet to take their office over. It reports whether to ask again before end.
+func (c *Council) Await(epoch uint64, end time.Time) bool {
+	t := time.NewTimer(min(againTime, time.Until(end)))
+	defer t.Stop()
+	select {
+	case <-c.Newer(epoch):
+	case <-t.C:
+	}
+	return time.Now().Before(end)
+}
+
 // Client is the client to the voter of a place; nil: there is none.
 func (c *Council) Client(place int) *signal.Client {
 	c.mu.Lock()
--- a/internal/drydock/day.go
+++ b/internal/drydock/day.go
@@ -24,6 +24,7 @@
 	Keys   float64                      `json:"keys,omitempty"`     // part of the requests that carry a key, beside those that draw their route
 	Again  time.Duration                `json:"again_ns,omitempty"` // within which keys come again; 0: 1.5 s
 	Large  float64                      `json:"large,omitempty"`    // part of the bodies that go on as they come
+	Lost   time.Duration                `json:"lost_ns,omitempty"`  // after which a silent voter is replaced; 0: in no day
 	Rude   float64                      `json:"rude,omitempty"`     // part of the tries that end in the middle of their body
 	Calls  float64                      `json:"calls,omitempty"`    // part of the runs that make a call of their own
 	Events func(w *World, op *operator) `json:"-"`
--- a/internal/drydock/world.go
+++ b/internal/drydock/world.go
@@ -51,6 +51,7 @@
 	inner float64 // part of the runs that make a call
 	flaw  Flaw
 	fault Faults
+	lost  time.Duration // of Day
 
 	core []*coreMachine
 	tugs []*tugMachine
@@ -190,6 +191,7 @@
 func (w *World) settings(name, ip, zone string, boot bool) *articles.Settings {
 	s := &articles.Settings{NodeName: name, IP: ip, Zone: zone, Ports: [2]int{firstFree, lastFree}, Bootstrap: boot,
 		Listen: map[string]string{}, Heartbeat: 1300 * time.Millisecond, Bounds: articles.DefaultBounds(), MemoryMB: 200, Descriptors: 4000}
+	s.VoterLost = w.lost
 	for _, c := range w.core {
 		s.Seeds = append(s.Seeds, net.JoinHostPort(c.m.IP, portControl))
 	}
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -15,6 +15,7 @@
 // The duties of the mesh.
 const (
 	Teach Name = "teach" // tells members what they missed
+	Roll  Name = "roll"  // replaces voters that are gone, and finishes a change of the roll. It spares two from standing in each other's way; ballots decide
 )
 
 const (
--- a/internal/gangway/keyed.go
+++ b/internal/gangway/keyed.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"saltmast/internal/ballot"
 	"saltmast/internal/codebook"
 	"saltmast/internal/council"
 	"saltmast/internal/plight"
@@ -217,22 +218,33 @@
 	return tally.Open, tally.ID{}
 }
 
-// vote claims a key with the members.
+// vote claims a key with the members. Where their epoch has ended without a majority, it is claimed in the next under the same
+// id.
 func (g *Gangway) vote(key string, id tally.ID, wait time.Duration) (verdict tally.Verdict, holder tally.ID) {
-	roll := g.o.Council.Roll()
-	vote := tally.Vote{Voters: len(roll.Voters)}
-	msg := signal.Encode(codebook.ClaimCall{Key: key, ID: id, Epoch: roll.Epoch})
-	g.o.Council.Gather(codebook.Claim, func(int) []byte { return msg }, wait, func(t council.Told) bool {
-		var gr tally.Grant
-		if t.Err != nil || signal.Decode(t.Body, &gr) != nil {
-			vote.Missed()
-		} else {
-			vote.Add(gr)
+	for end := time.Now().Add(wait); ; {
+		roll := g.o.Council.Roll()
+		n := len(roll.Voters)
+		vote := tally.Vote{Voters: n}
+		msg := signal.Encode(codebook.ClaimCall{Key: key, ID: id, Epoch: roll.Epoch})
+		gone := 0
+		g.o.Council.Gather(codebook.Claim, func(int) []byte { return msg }, time.Until(end), func(t council.Told) bool {
+			var gr tally.Grant
+			if t.Err != nil || signal.Decode(t.Body, &gr) != nil {
+				if vote.Missed(); plight.Of(t.Err) == plight.Gone {
+					if gone++; gone == 1 {
+						g.o.Council.Learn(t.Place, roll.Epoch)
+					}
+				}
+			} else {
+				vote.Add(gr)
+			}
+			verdict, holder = vote.Verdict()
+			return verdict != tally.Open || gone > n-ballot.Majority(n)
+		})
+		if verdict != tally.Open || gone == 0 || !g.o.Council.Await(roll.Epoch, end) {
+			return verdict, holder
 		}
-		verdict, holder = vote.Verdict()
-		return verdict != tally.Open
-	})
-	return verdict, holder
+	}
 }
 
 // ofAnother answers a repeat by what the holder of the key knows, or else whoever may have run it.
--- a/internal/harbour/harbour.go
+++ b/internal/harbour/harbour.go
@@ -42,11 +42,15 @@
 	Net     sock.Net        // nil: the system's
 	Head    *masthead.Masthead
 	Log     func(event, text string)
+	Lost    time.Duration // a voter that nobody heard for so long is replaced; 0: VoterLost
 }
 
+// VoterLost is far longer than a restart or an outage that is borne.
+const VoterLost = 5 * time.Minute
+
 // Counts of what a harbourmaster did.
 type Counts struct {
-	Pulls, News, Changes, Refused, Rounds, Preempted, Taught atomic.Int64
+	Pulls, News, Changes, Refused, Rounds, Preempted, Taught, Relieved atomic.Int64
 }
 
 // Harbour is one harbourmaster.
@@ -60,6 +64,7 @@
 	Counts  Counts
 	ended   chan struct{}
 	running sync.WaitGroup
+	turning chan struct{} // holds one while a change of the roll runs
 	round   chan struct{} // holds one while a round runs: two from here would only stand in each other's way
 	mending atomic.Bool   // a round that settles what is pending runs, or waits to
 }
@@ -81,7 +86,10 @@
 	anew    int                      // raised to have all others asked for all they have
 	pullers []*puller
 	begun   time.Time
-	lease   duty.Lease // of teaching
+	leases  map[duty.Name]*duty.Lease
+	shut    []time.Time     // by place: since when the member is sealed; zero: it is not
+	decree  manifest.Ballot // the highest heard of, of the next roll
+	since   time.Time       // that this roll is watched
 }
 
 type puller struct {
@@ -93,9 +101,9 @@
 
 // Start begins to serve.
 func Start(o Options) *Harbour {
-	h := &Harbour{o: o, council: council.New(o.Net), ended: make(chan struct{}), round: make(chan struct{}, 1)}
+	h := &Harbour{o: o, council: council.New(o.Net), ended: make(chan struct{}), round: make(chan struct{}, 1), turning: make(chan struct{}, 1)}
 	b := &books{h: h, berths: berths.New(), stands: manifest.Set{}, masters: map[string]codebook.Master{}, lost: map[string]time.Time{},
-		pulling: map[string]chan struct{}{}, begun: time.Now()}
+		pulling: map[string]chan struct{}{}, begun: time.Now(), leases: map[duty.Name]*duty.Lease{}}
 	b.enter(o.Self)
 	h.own = signal.Own(b, 1024)
 	h.port = &pilot.Port{Change: h.change, Configure: h.configure,
@@ -188,7 +196,7 @@
 			c := signal.NewClient(h.o.Net, a)
 			var w codebook.Watched
 			if err := c.Call(codebook.Watch, codebook.WatchCall{}, &w, callTime); err == nil && w.Roll.Epoch > 0 {
-				h.council.Take(w.Roll)
+				h.adopt(w.Roll)
 			}
 			c.Close()
 		}
@@ -196,22 +204,37 @@
 			return
 		}
 	}
-	roll := h.council.Roll()
+}
+
+// adopt takes a roll if it is newer than what is known, and watches those who count there. It is called by what runs.
+func (h *Harbour) adopt(roll codebook.Roll) {
+	if roll.Epoch == 0 || !h.council.Take(roll) {
+		return
+	}
 	h.o.Log("roll", fmt.Sprintf("epoch %d, %d count", roll.Epoch, len(roll.Voters)))
 	h.own.Ask(func(b *books) {
+		if h.council.Roll().Epoch != roll.Epoch {
+			return
+		}
 		n := len(roll.Voters)
-		b.heard, b.pending, b.behind = make([]time.Time, n), make([]time.Time, n), make([]int, n)
+		b.heard, b.pending, b.behind, b.shut = make([]time.Time, n), make([]time.Time, n), make([]int, n), make([]time.Time, n)
+		b.since = time.Now()
+		clear(b.leases)
+		b.wake()
 	})
 	for i := range roll.Voters {
 		h.running.Go(func() { h.watch(i, roll) })
 	}
+	if roll.Epoch > 1 && roll.Place(h.o.Purser) < 0 {
+		h.running.Go(func() { h.dismiss(roll) })
+	}
 }
 
 // watch follows one member.
 func (h *Harbour) watch(place int, roll codebook.Roll) {
 	for !h.over() {
 		c := h.council.Client(place)
-		if c == nil {
+		if c == nil || h.council.Roll().Epoch != roll.Epoch {
 			return
 		}
 		var call codebook.WatchCall
@@ -228,7 +251,18 @@
 			}
 			continue
 		}
-		h.own.Ask(func(b *books) { b.watched(place, w) })
+		if w.Roll.Epoch > roll.Epoch {
+			h.adopt(w.Roll)
+			return
+		}
+		h.own.Ask(func(b *books) {
+			if h.council.Roll().Epoch == roll.Epoch {
+				b.watched(place, w)
+			}
+		})
+		if w.Roll.Epoch < roll.Epoch && roll.Epoch > 1 { // it slept through the change
+			c.Call(codebook.Relieve, codebook.RelieveCall{Roll: roll}, nil, relieveTime)
+		}
 		if w.State != "serving" && !h.pause(100*time.Millisecond) {
 			return
 		}
@@ -248,10 +282,11 @@
 	}
 	now := time.Now()
 	b.heard[place] = now
+	b.halted(place, w.Shut, now)
 	b.take(w.Chosen, w.Items)
 	switch {
 	case w.Accepted.Less(b.chosen):
-		if b.behind[place]++; b.behind[place] >= 2 && b.mayTeach() {
+		if b.behind[place]++; b.behind[place] >= 2 && b.may(duty.Teach) {
 			b.behind[place] = 0
 			b.teach(place)
 		}
@@ -303,19 +338,24 @@
 	b.wake()
 }
 
-// mayTeach reports whether teaching is this harbourmaster's duty, and else asks for it: all of them see who is behind, and
-// one is enough to tell.
-func (b *books) mayTeach() bool {
+// may reports whether a duty is this harbourmaster's, and else asks for it: all of them see what is to be done, and one is
+// enough to do it.
+func (b *books) may(d duty.Name) bool {
 	now := time.Since(b.begun)
-	if b.lease.Holds(now) {
+	lease := b.leases[d]
+	if lease == nil {
+		lease = &duty.Lease{}
+		b.leases[d] = lease
+	}
+	if lease.Holds(now) {
 		return true
 	}
 	roll := b.h.council.Roll()
-	if b.lease.Members = len(roll.Voters); rand.IntN(2) > 0 || !b.lease.Due(now) {
+	if lease.Members = len(roll.Voters); rand.IntN(2) > 0 || !lease.Due(now) {
 		return false
 	}
-	asked := b.lease.Asked()
-	call := codebook.LeaseCall{Duty: duty.Teach, By: b.h.o.Life, Epoch: roll.Epoch}
+	asked := lease.Asked()
+	call := codebook.LeaseCall{Duty: d, By: b.h.o.Life, Epoch: roll.Epoch}
 	go func() {
 		given := 0
 		ask := signal.Encode(call)
@@ -323,7 +363,7 @@
 			var l codebook.Leased
 			if t.Err == nil && signal.Decode(t.Body, &l) == nil && l.Given {
 				given++
-				b.h.own.Send(func(b *books) { b.lease.Granted(asked, t.Place) })
+				b.h.own.Send(func(*books) { lease.Granted(asked, t.Place) })
 			}
 			return false
 		})
@@ -378,6 +418,8 @@
 		h.own.Send(func(b *books) { b.pull(c, m) })
 	case codebook.Report:
 		h.report(c)
+	case codebook.Rolls:
+		h.rolls(c)
 	default:
 		c.Reply(nil, plight.New(plight.NoCall, "kind %d", c.Kind))
 	}
@@ -523,6 +565,7 @@
 					b.meet(codebook.Master{Name: p.Node, Addr: p.Addr, Zone: p.Zone})
 				}
 			}
+			b.tend(time.Now())
 			if look%sweepEvery == 0 {
 				b.sweep(time.Now(), time.Since(begun), seeds)
 			}
@@ -607,6 +650,9 @@
 		}
 		h.o.Head.Heard(addr)
 		call.Life, call.At, call.Sum = n.Life, n.At, n.Sum
+		if n.Roll != nil {
+			h.adopt(*n.Roll)
+		}
 		h.own.Ask(func(b *books) {
 			changed := false
 			for _, x := range n.Berths {
@@ -716,10 +762,11 @@
 	var stands, ok bool
 	at := make(map[int]manifest.Ballot, n) // what each that promised has accepted
 	prepare := signal.Encode(codebook.PrepareCall{B: b, Epoch: roll.Epoch})
+	gone := 0
 	err := h.council.Gather(codebook.Prepare, func(int) []byte { return prepare }, min(phaseTime, time.Until(end)), func(t council.Told) bool {
 		var p ballot.Promise
 		if t.Err != nil || signal.Decode(t.Body, &p) != nil {
-			return false
+			return gonePast(t.Err, &gone, n)
 		}
 		r.Add(p)
 		at[t.Place] = p.Accepted
@@ -733,7 +780,7 @@
 		if b.Less(r.Higher) {
 			return plight.New(plight.Preempted, "")
 		}
-		return err
+		return outOr(err)
 	}
 	o := ballot.Apply(base, items, b)
 	var refused error
@@ -759,6 +806,21 @@
 	return refused
 }
 
+// gonePast counts the members whose epoch has ended, and reports whether a majority of n is past hope.
+func gonePast(err error, gone *int, n int) bool {
+	if plight.Of(err) == plight.Gone {
+		*gone++
+	}
+	return *gone > n-ballot.Majority(n)
+}
+
+func outOr(err error) error {
+	if err == nil {
+		return plight.New(plight.CoreOut, "the epoch has ended")
+	}
+	return err
+}
+
 // settle has a value accepted by a majority, and takes it.
 func (h *Harbour) settle(b, of manifest.Ballot, o ballot.Outcome, at map[int]manifest.Ballot, roll codebook.Roll, end time.Time) error {
 	whole := codebook.AcceptCall{B: b, Epoch: roll.Epoch}
@@ -772,7 +834,7 @@
 	}
 	var vs []ballot.Vouch
 	var higher manifest.Ballot
-	taken := false
+	taken, gone := false, 0
 	err := h.council.Gather(codebook.Accept, func(place int) []byte {
 		if acc, ok := at[place]; ok && acc == of {
 			return part
@@ -781,7 +843,7 @@
 	}, min(phaseTime, time.Until(end)), func(t council.Told) bool {
 		var a codebook.Accepted
 		if t.Err != nil || signal.Decode(t.Body, &a) != nil {
-			return false
+			return gonePast(t.Err, &gone, len(roll.Voters))
 		}
 		if !a.Taken {
 			if higher.Less(a.Promised) {
@@ -798,7 +860,7 @@
 			h.own.Ask(func(t *books) { t.raise(higher) })
 			return plight.New(plight.Preempted, "")
 		}
-		return err
+		return outOr(err)
 	}
 	h.own.Ask(func(t *books) { t.whole(b, o.Next) })
 	learn := signal.Encode(codebook.LearnCall{B: b})
--- a/internal/harbour/harbour_test.go
+++ b/internal/harbour/harbour_test.go
@@ -58,7 +58,7 @@
 // callers.
 func TestRoundsInTurn(t *testing.T) {
 	h, b := ashore(t)
-	b.heard, b.pending, b.behind = make([]time.Time, 3), make([]time.Time, 3), make([]int, 3)
+	b.heard, b.pending, b.behind, b.shut = make([]time.Time, 3), make([]time.Time, 3), make([]int, 3), make([]time.Time, 3)
 	h.round <- struct{}{} // a round that takes long
 	long := time.Now().Add(-time.Minute)
 	for i := range 30 {
--- a/internal/harbour/program.go
+++ b/internal/harbour/program.go
@@ -44,7 +44,7 @@
 	life := launch.Life()
 	r.head = masthead.Start(s, codebook.RoleHarbour, codebook.RosterPort, codebook.HarbourPort, life, on, log)
 	r.H = Start(Options{Head: r.head, Self: codebook.Master{Name: s.NodeName, Addr: s.Port(codebook.HarbourPort), Zone: s.Zone},
-		Purser: s.Port(codebook.PurserPort), First: s.Ports[0], Life: life, Control: control, Calls: calls, Net: on, Log: log,
+		Purser: s.Port(codebook.PurserPort), First: s.Ports[0], Life: life, Control: control, Calls: calls, Net: on, Log: log, Lost: s.VoterLost,
 		Seeds: func() []string { return r.s.Load().Seeds }})
 	return r, nil
 }
@@ -62,7 +62,7 @@
 func (r Running) Counts() map[string]int64 {
 	c, s := &r.H.Counts, r.H.Status()
 	out := map[string]int64{"pulls": c.Pulls.Load(), "news": c.News.Load(), "changes": c.Changes.Load(), "refused": c.Refused.Load(),
-		"rounds": c.Rounds.Load(), "preempted": c.Preempted.Load(), "taught": c.Taught.Load(), "items": int64(s.Items),
+		"rounds": c.Rounds.Load(), "preempted": c.Preempted.Load(), "taught": c.Taught.Load(), "relieved": c.Relieved.Load(), "items": int64(s.Items),
 		"berths": int64(len(s.Berths)), "masters": int64(len(s.Masters)), "fresh_ms": int64(s.FreshMs), "chosen": int64(s.Chosen.N)}
 	r.head.Count(out)
 	return out
--- a/internal/harbour/report.go
+++ b/internal/harbour/report.go
@@ -8,6 +8,7 @@
 
 	"saltmast/internal/berths"
 	"saltmast/internal/codebook"
+	"saltmast/internal/duty"
 	"saltmast/internal/launch"
 	"saltmast/internal/signal"
 )
@@ -26,7 +27,7 @@
 		r := codebook.Reported{Program: codebook.TheHarbour, Version: launch.Version, Node: h.o.Self.Name, Zone: h.o.Self.Zone, Addr: h.o.Self.Addr,
 			Life: h.o.Life, UpMs: uint64(time.Since(b.begun).Milliseconds()), Chosen: b.chosen, Epoch: roll.Epoch, Voters: roll.Voters}
 		own := &codebook.HarbourReport{Masters: slices.Collect(maps.Values(b.masters)), FreshMs: b.fresh(),
-			Teaches: b.lease.Holds(time.Since(b.begun))}
+			Teaches: b.holds(duty.Teach)}
 		for _, t := range b.heard {
 			ms := uint32(codebook.Never)
 			if !t.IsZero() {
@@ -56,6 +57,11 @@
 	})
 }
 
+func (b *books) holds(d duty.Name) bool {
+	l := b.leases[d]
+	return l != nil && l.Holds(time.Since(b.begun))
+}
+
 func reports(all []berths.Berth) []codebook.BerthReport {
 	out := make([]codebook.BerthReport, len(all))
 	for i, b := range all {
--- /dev/null
+++ b/internal/harbour/rolls.go
@@ -0,0 +1,391 @@
+package harbour
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"time"
+
+	"saltmast/internal/ballot"
+	"saltmast/internal/codebook"
+	"saltmast/internal/council"
+	"saltmast/internal/duty"
+	"saltmast/internal/manifest"
+	"saltmast/internal/plight"
+	"saltmast/internal/relief"
+	"saltmast/internal/signal"
+)
+
+// A change of the roll: on the operator's word, or by the harbourmaster with that duty where a voter is silent for very long.
+// Package relief says why it is safe; nothing here has to be, since any number of proposers may stand in each other's way.
+
+const (
+	readyTime   = 700 * time.Millisecond
+	relieveTime = 1500 * time.Millisecond
+	rollTime    = 4 * time.Second        // of one change, with the tries that stand in each other's way
+	haltTime    = 300 * time.Millisecond // a voter may be sealed for so long before the change counts as interrupted
+)
+
+// halted takes note whether a member is sealed: a change that was left in the middle is finished by whoever has the duty.
+func (b *books) halted(place int, shut bool, now time.Time) {
+	switch {
+	case !shut:
+		b.shut[place] = time.Time{}
+	case b.shut[place].IsZero():
+		b.shut[place] = now
+	case now.Sub(b.shut[place]) > haltTime && b.may(duty.Roll):
+		b.shut[place] = now
+		b.turn("an interrupted change", nil)
+	}
+}
+
+// turn runs a change of the roll beside the owner's goroutine, unless one runs already.
+func (b *books) turn(why string, voters func(codebook.Roll) ([]codebook.Voter, error)) {
+	h := b.h
+	if h.over() {
+		return
+	}
+	select {
+	case h.turning <- struct{}{}:
+	default:
+		return
+	}
+	h.running.Go(func() {
+		defer func() { <-h.turning }()
+		var wish []codebook.Voter
+		roll, err := h.council.Roll(), error(nil)
+		if voters != nil {
+			wish, err = voters(roll)
+		}
+		if err == nil && (voters == nil || wish != nil) {
+			_, err = h.relieve(roll, wish)
+			h.o.Log("roll", why+": "+outcome(err))
+		}
+	})
+}
+
+// tend looks for a voter that nobody has heard for very long, while this one hears a majority.
+func (b *books) tend(now time.Time) {
+	lost := cmp.Or(b.h.o.Lost, VoterLost)
+	if len(b.heard) == 0 || now.Sub(b.since) < lost || b.fresh() > 3000 {
+		return
+	}
+	for i, at := range b.heard {
+		if now.Sub(at) >= lost && b.may(duty.Roll) {
+			masters := b.pursers()
+			b.turn("a voter that is lost", func(roll codebook.Roll) ([]codebook.Voter, error) {
+				return b.h.replace(roll, i, masters, lost), nil
+			})
+			return
+		}
+	}
+}
+
+// pursers are the places of all pursers beside known harbourmasters.
+func (b *books) pursers() (out []codebook.Voter) {
+	for _, m := range b.masters {
+		out = append(out, codebook.Voter{Name: m.Name, Addr: codebook.Beside(m.Addr, b.h.o.First, codebook.PurserPort), Zone: m.Zone})
+	}
+	slices.SortFunc(out, func(x, y codebook.Voter) int { return cmp.Compare(x.Name, y.Name) })
+	return out
+}
+
+// replace is the roll with a lost voter replaced by a machine that is apart and well; nil: there is none, or another
+// harbourmaster hears the voter.
+func (h *Harbour) replace(roll codebook.Roll, place int, known []codebook.Voter, lost time.Duration) []codebook.Voter {
+	var well []codebook.Voter
+	for _, v := range known {
+		if roll.Place(v.Addr) < 0 {
+			var r codebook.Readied
+			if h.call(v.Addr, codebook.Ready, codebook.ReadyCall{Dry: true}, &r, readyTime) == nil && r.State == "apart" {
+				well = append(well, v)
+			}
+		}
+		m := codebook.Beside(v.Addr, h.o.First, codebook.HarbourPort)
+		var r codebook.Reported
+		if m == h.o.Self.Addr || h.call(m, codebook.Report, codebook.ReportCall{Brief: true}, &r, readyTime) != nil || r.Harbour == nil {
+			continue
+		}
+		if r.Epoch != roll.Epoch || place < len(r.Harbour.HeardMs) && time.Duration(r.Harbour.HeardMs[place])*time.Millisecond < lost {
+			return nil
+		}
+	}
+	voters, _ := relief.Replace(roll, place, well)
+	return voters
+}
+
+// call makes one call to an address.
+func (h *Harbour) call(addr string, kind uint8, v, answer any, wait time.Duration) error {
+	c := signal.NewClient(h.o.Net, addr)
+	defer c.Close()
+	return c.Call(kind, v, answer, wait)
+}
+
+// prepare asks the wished voters how they stand, and makes a roll of them. Those that join must be well, and a majority.
+func (h *Harbour) prepare(roll codebook.Roll, voters []codebook.Voter, dry bool) (next codebook.Roll, err error) {
+	next = codebook.Roll{Epoch: roll.Epoch + 1, Voters: slices.Clone(voters), Was: slices.Clone(roll.Voters)}
+	for i := range next.Was {
+		next.Was[i].Disk = 0
+	}
+	type told struct {
+		i   int
+		r   codebook.Readied
+		err error
+	}
+	ch := make(chan told, len(voters))
+	for i, v := range voters {
+		go func() {
+			t := told{i: i}
+			t.err = h.call(v.Addr, codebook.Ready, codebook.ReadyCall{Dry: dry}, &t.r, readyTime)
+			ch <- t
+		}()
+	}
+	well := 0
+	for range voters {
+		t := <-ch
+		v := &next.Voters[t.i]
+		v.Disk = 0
+		joins := roll.Place(v.Addr) < 0
+		switch {
+		case t.err != nil && joins:
+			return next, plight.New(plight.Away, "%s", v.Addr)
+		case t.err != nil:
+		case t.r.Epoch > roll.Epoch:
+			return next, plight.New(plight.Preempted, "epoch %d is over", roll.Epoch)
+		case joins && t.r.State != "apart":
+			return next, plight.New(plight.Away, "%s: %s", v.Addr, t.r.State)
+		case joins || t.r.State == "serving": // else it makes up for its disk in the new epoch
+			well++
+			v.Disk = t.r.Disk
+		}
+	}
+	if well < ballot.Majority(len(voters)) {
+		return next, plight.New(plight.CoreOut, "%d of the %d voters are well", well, len(voters))
+	}
+	return next, nil
+}
+
+// relieve runs a change of the roll to its end. voters: nil to finish one that was left in the middle.
+func (h *Harbour) relieve(roll codebook.Roll, voters []codebook.Voter) (codebook.Roll, error) {
+	var mine codebook.Roll
+	if len(roll.Voters) == 0 {
+		return roll, plight.New(plight.CoreOut, "nobody known that counts")
+	}
+	if voters != nil {
+		var err error
+		if mine, err = h.prepare(roll, voters, false); err != nil {
+			return roll, err
+		}
+	}
+	for end := time.Now().Add(rollTime); ; {
+		next, err := h.decree(roll, mine)
+		switch {
+		case err == nil:
+			h.Counts.Relieved.Add(1)
+			h.hand(next)
+			if voters != nil && !next.Same(mine) {
+				return next, plight.New(plight.Preempted, "another change was under way")
+			}
+			return next, nil
+		case h.council.Roll().Epoch != roll.Epoch:
+			return h.council.Roll(), plight.New(plight.Preempted, "another change came first")
+		case plight.Of(err) != plight.Preempted && plight.Of(err) != plight.CoreOut, time.Now().After(end):
+			return roll, err
+		}
+		if !h.pause(10*time.Millisecond + rand.N(150*time.Millisecond)) {
+			return roll, err
+		}
+	}
+}
+
+// decree has the old voters choose a successor: mine, or what one of them accepted before.
+func (h *Harbour) decree(roll, mine codebook.Roll) (next codebook.Roll, err error) {
+	n := len(roll.Voters)
+	var b manifest.Ballot
+	h.own.Ask(func(t *books) {
+		t.decree = manifest.Ballot{N: t.decree.N + 1, By: uint32(h.o.Life)}
+		b = t.decree
+	})
+	r := relief.Round{Voters: n}
+	gather := func(call codebook.SucceedCall, take func(relief.Answer) bool) error {
+		if h.council.Roll().Epoch != roll.Epoch {
+			return plight.New(plight.Gone, "epoch %d", roll.Epoch)
+		}
+		ask := signal.Encode(call)
+		return h.council.Gather(codebook.Succeed, func(int) []byte { return ask }, phaseTime, func(t council.Told) bool {
+			var a relief.Answer
+			return t.Err == nil && signal.Decode(t.Body, &a) == nil && take(a)
+		})
+	}
+	err = gather(codebook.SucceedCall{Epoch: roll.Epoch, B: b}, func(a relief.Answer) bool {
+		r.Promise(a)
+		return false // all are heard: one may have accepted something
+	})
+	next, bound, ok := r.Base()
+	defer func() {
+		h.own.Ask(func(t *books) {
+			if t.decree.Less(r.Higher) {
+				t.decree = r.Higher
+			}
+		})
+	}()
+	switch {
+	case !ok && b.Less(r.Higher):
+		return next, plight.New(plight.Preempted, "")
+	case !ok:
+		return next, err
+	case !bound && mine.Epoch == 0:
+		return next, plight.New(plight.Gone, "nothing to finish")
+	case !bound:
+		next = mine
+	}
+	chosen := false
+	err = gather(codebook.SucceedCall{Epoch: roll.Epoch, B: b, Next: &next}, func(a relief.Answer) bool {
+		chosen = r.Accept(a)
+		return chosen
+	})
+	switch {
+	case chosen:
+		return next, nil
+	case b.Less(r.Higher):
+		return next, plight.New(plight.Preempted, "")
+	}
+	return next, outOr(err)
+}
+
+// hand tells a chosen roll to all that it concerns, and takes it once a majority of its voters speaks in the new epoch.
+func (h *Harbour) hand(next codebook.Roll) {
+	begun := time.Now()
+	ch := make(chan bool, len(next.Voters))
+	tell := func(v codebook.Voter) {
+		var r codebook.Relieved
+		err := h.call(v.Addr, codebook.Relieve, codebook.RelieveCall{Roll: next}, &r, relieveTime)
+		ch <- err == nil && r.Epoch >= next.Epoch && r.State == "serving"
+	}
+	for _, v := range next.Voters {
+		go tell(v)
+	}
+	holds := 0
+	for range next.Voters {
+		if <-ch {
+			if holds++; holds >= ballot.Majority(len(next.Voters)) {
+				break
+			}
+		}
+	}
+	h.o.Log("roll", fmt.Sprintf("epoch %d: %d speak after %v", next.Epoch, holds, time.Since(begun).Round(time.Millisecond)))
+	h.adopt(next) // a voter that is left out is told by those who watch it
+	for _, v := range next.Was {
+		if next.Place(v.Addr) < 0 {
+			go h.call(v.Addr, codebook.Relieve, codebook.RelieveCall{Roll: next}, nil, relieveTime)
+		}
+	}
+}
+
+// dismiss tells the purser beside this one that it does not count, until it knows: it may have slept through the change.
+func (h *Harbour) dismiss(roll codebook.Roll) {
+	for h.council.Roll().Epoch == roll.Epoch {
+		var r codebook.Relieved
+		if h.call(h.o.Purser, codebook.Relieve, codebook.RelieveCall{Roll: roll}, &r, relieveTime) == nil && r.Epoch >= roll.Epoch {
+			return
+		}
+		if !h.pause(500 * time.Millisecond) {
+			return
+		}
+	}
+}
+
+// ---- The operator ----
+
+// rolls takes the operator's word.
+func (h *Harbour) rolls(c signal.Call) {
+	var call codebook.RollsCall
+	if err := signal.Decode(c.Body, &call); err != nil {
+		c.Reply(nil, err)
+		return
+	}
+	h.own.Send(func(b *books) {
+		if h.over() {
+			return
+		}
+		known := b.pursers()
+		h.running.Go(func() {
+			begun := time.Now()
+			roll := h.council.Roll()
+			t := codebook.RollsTold{Was: roll, Roll: roll}
+			voters, err := wished(roll, known, call)
+			switch {
+			case err != nil:
+			case call.Dry:
+				t.Roll, err = h.prepare(roll, voters, true)
+			default:
+				select {
+				case h.turning <- struct{}{}:
+					t.Roll, err = h.relieve(roll, voters)
+					<-h.turning
+				default:
+					err = plight.New(plight.Preempted, "another change is under way")
+				}
+				h.o.Log("roll", "the operator's word: "+outcome(err))
+			}
+			if t.TookMs = uint32(time.Since(begun).Milliseconds()); err != nil {
+				t.Why = err.Error()
+			}
+			c.Reply(t, nil)
+		})
+	})
+}
+
+// wished is the list of voters that a call asks for.
+func wished(roll codebook.Roll, known []codebook.Voter, call codebook.RollsCall) ([]codebook.Voter, error) {
+	find := func(name string) (codebook.Voter, error) {
+		host, _, err := net.SplitHostPort(name)
+		if err != nil {
+			host = name
+		}
+		for _, v := range append(slices.Clone(known), roll.Voters...) { // those that founded it have no names
+			if at, _, _ := net.SplitHostPort(v.Addr); v.Name == name || v.Addr == name || at == host {
+				return v, nil
+			}
+		}
+		return codebook.Voter{}, plight.New(plight.Invalid, "%q is no node with a purser that is known here", name)
+	}
+	var voters []codebook.Voter
+	for _, n := range call.Voters {
+		v, err := find(n)
+		if err != nil {
+			return nil, err
+		}
+		voters = append(voters, v)
+	}
+	if len(call.Voters) == 0 {
+		voters = slices.Clone(roll.Voters)
+	}
+	for _, x := range call.Replace {
+		old, err := find(x[0])
+		if err != nil {
+			return nil, err
+		}
+		at := slices.IndexFunc(voters, func(v codebook.Voter) bool { return v.Addr == old.Addr })
+		if at < 0 {
+			return nil, plight.New(plight.Invalid, "%s does not count", x[0])
+		}
+		if voters[at], err = find(x[1]); err != nil {
+			return nil, err
+		}
+	}
+	for i, v := range voters {
+		if slices.ContainsFunc(voters[:i], func(o codebook.Voter) bool { return o.Addr == v.Addr }) {
+			return nil, plight.New(plight.Invalid, "%s comes twice", v.Addr)
+		}
+	}
+	switch {
+	case len(voters)%2 == 0:
+		return nil, plight.New(plight.Invalid, "%d voters: an odd number is wanted", len(voters))
+	case (codebook.Roll{Epoch: roll.Epoch, Voters: voters}).Same(roll):
+		return nil, plight.New(plight.Invalid, "that is the roll in force")
+	}
+	return voters, nil
+}
--- a/internal/purser/purser.go
+++ b/internal/purser/purser.go
@@ -19,6 +19,7 @@
 	"saltmast/internal/hold"
 	"saltmast/internal/manifest"
 	"saltmast/internal/plight"
+	"saltmast/internal/relief"
 	"saltmast/internal/signal"
 	"saltmast/internal/sock"
 	"saltmast/internal/tally"
@@ -96,7 +97,14 @@
 	roll      codebook.Roll
 	me        int      // place in the roll; -1: none
 	incs      []uint64 // by place
-	accepting bool     // a value is on its way to disk
+	seal      relief.Seal
+	sealed    bool            // the seal is shut, or the books are past, and that is on disk
+	former    manifest.Ballot // the value accepted in a former epoch; zero: none
+	number    uint64          // of the disk, by which a roll names it; 0: it was never asked for
+	past      *past           // the books are of a former epoch
+	taking    bool            // books are being taken over
+	takers    []func(error)   // who hear of that
+	accepting bool            // a value is on its way to disk
 	queued    []func(*books)
 	watchers  []*watcher
 	mustering bool
@@ -210,6 +218,7 @@
 func (b *books) forget() {
 	b.clear()
 	b.roll, b.incs, b.me = codebook.Roll{}, nil, -1
+	b.seal, b.sealed, b.former, b.number, b.past = relief.Seal{}, false, manifest.Ballot{}, 0, nil
 }
 
 func (b *books) set(s State) {
@@ -260,6 +269,7 @@
 	}
 	b.trouble = ""
 	b.disk, b.acc, b.ledger, b.roll, b.incs, b.me = read.disk, read.acc, read.ledger, read.roll, read.incs, read.me
+	b.seal, b.sealed, b.former, b.number, b.past = read.seal, read.seal.Shut() || read.past != nil, read.former, read.number, read.past
 	switch {
 	case b.roll.Epoch > 0:
 		b.place()
@@ -368,6 +378,14 @@
 			return signal.Decode(v, &b.acc.Accepted)
 		case "chosen":
 			return signal.Decode(v, &b.acc.Chosen)
+		case "seal":
+			return signal.Decode(v, &b.seal)
+		case "former":
+			return signal.Decode(v, &b.former)
+		case "number":
+			return signal.Decode(v, &b.number)
+		case "past":
+			return signal.Decode(v, &b.past)
 		}
 		return nil
 	})
@@ -471,6 +489,14 @@
 		return with(c, b.muster)
 	case codebook.Lease:
 		return with(c, b.lease)
+	case codebook.Ready:
+		return with(c, b.ready)
+	case codebook.Succeed:
+		return with(c, b.succeed)
+	case codebook.Relieve:
+		return with(c, b.relieve)
+	case codebook.Handover:
+		return with(c, b.handover)
 	case codebook.Report:
 		b.report(c)
 		return nil
@@ -488,13 +514,24 @@
 
 // counts reports whether it may speak as a member.
 func (b *books) counts(epoch uint64) error {
+	if err := b.member(epoch); err != nil {
+		return err
+	}
+	if b.seal.Shut() || b.taking {
+		return plight.New(plight.Gone, "epoch %d has ended here", epoch)
+	}
+	return nil
+}
+
+// member reports whether it is a member of an epoch, even if it is sealed there.
+func (b *books) member(epoch uint64) error {
 	switch {
+	case epoch != b.roll.Epoch && b.roll.Epoch > 0: // whoever hears that learns who counts, or asks again soon
+		return plight.New(plight.Gone, "epoch %d, here %d", epoch, b.roll.Epoch)
 	case b.state == Repairing:
 		return plight.New(plight.Repairing, "")
 	case b.state != Serving:
 		return plight.New(plight.CoreOut, "%s", b.state)
-	case epoch != b.roll.Epoch:
-		return plight.New(plight.Gone, "epoch %d, here %d", epoch, b.roll.Epoch)
 	case b.disk.Stalled() > stalledAfter:
 		return plight.New(plight.DiskOut, "")
 	}
@@ -519,7 +556,7 @@
 		c.Reply(answer, nil)
 		return nil
 	}
-	answer.Items = all(b.acc.Value)
+	answer.Items, answer.Former = all(b.acc.Value), b.inherited()
 	b.write([]hold.Put{putBallot("promised", m.B)}, func(err error) { reply(c, answer, err) })
 	return nil
 }
@@ -620,7 +657,7 @@
 
 func (b *books) watched(have manifest.Ballot) codebook.Watched {
 	return codebook.Watched{Vouch: b.vouch(), Promised: b.acc.Promised, Accepted: b.acc.Accepted, Chosen: b.acc.Chosen,
-		Items: ballot.Since(b.acc.Stands, have), Roll: b.roll, State: string(b.state), Keys: b.ledger.Len()}
+		Items: ballot.Since(b.acc.Stands, have), Roll: b.roll, State: string(b.state), Keys: b.ledger.Len(), Shut: b.seal.Shut()}
 }
 
 // watch answers at once where there is news, and else when there is some or the time is up. A member that may not speak as
@@ -702,7 +739,11 @@
 		c.Reply(codebook.Leased{}, nil)
 		return nil
 	}
-	if err := b.counts(m.Epoch); err != nil {
+	speaks := b.counts
+	if m.Duty == duty.Roll { // whoever finishes a change of the roll asks those that are sealed
+		speaks = b.member
+	}
+	if err := speaks(m.Epoch); err != nil {
 		return err
 	}
 	c.Reply(codebook.Leased{Given: b.duties.Grant(b.now(), m.Duty, m.By)}, nil)
--- a/internal/purser/repair.go
+++ b/internal/purser/repair.go
@@ -11,6 +11,7 @@
 	"saltmast/internal/hold"
 	"saltmast/internal/manifest"
 	"saltmast/internal/plight"
+	"saltmast/internal/relief"
 	"saltmast/internal/signal"
 	"saltmast/internal/tally"
 )
@@ -71,25 +72,36 @@
 
 // tell is all that is held, the claims in parts by the order of their keys.
 func (b *books) tell(m codebook.MusterCall) codebook.Mustered {
-	t := codebook.Mustered{Vouch: b.vouch(), Roll: b.roll, Promised: b.acc.Promised, Accepted: b.acc.Accepted, Chosen: b.acc.Chosen}
+	t := codebook.Mustered{Vouch: b.vouch(), Roll: b.roll, Promised: b.acc.Promised, Accepted: b.acc.Accepted, Chosen: b.acc.Chosen,
+		Former: b.inherited()}
+	if b.seal.Shut() || !b.seal.Promised.IsZero() {
+		s := b.seal
+		t.Seal = &s
+	}
 	if m.From == "" {
 		t.Items = all(b.acc.Value)
 	}
+	t.Claims, t.More = b.page(m.From)
+	return t
+}
+
+// page is a part of the claims, of keys after from.
+func (b *books) page(from string) (claims []codebook.ClaimCall, more bool) {
 	b.ledger.All(func(key string, id tally.ID) {
-		if key > m.From {
-			t.Claims = append(t.Claims, codebook.ClaimCall{Key: key, ID: id})
+		if key > from {
+			claims = append(claims, codebook.ClaimCall{Key: key, ID: id})
 		}
 	})
-	slices.SortFunc(t.Claims, func(x, y codebook.ClaimCall) int {
+	slices.SortFunc(claims, func(x, y codebook.ClaimCall) int {
 		if x.Key < y.Key {
 			return -1
 		}
 		return 1
 	})
-	if len(t.Claims) > claimsAt {
-		t.Claims, t.More = t.Claims[:claimsAt], true
+	if len(claims) > claimsAt {
+		claims, more = claims[:claimsAt], true
 	}
-	return t
+	return claims, more
 }
 
 // repair asks others for the roll, or for all that this member has lost. One runs at a time, off the owner's goroutine, and is
@@ -174,6 +186,9 @@
 		if b.roll.Epoch >= roll.Epoch || b.disk == nil {
 			return
 		}
+		if b.taking { // it takes an office over, and hears of the roll by that
+			return
+		}
 		b.roll = roll
 		b.place()
 		b.write([]hold.Put{b.putRoll(), b.putIncs()}, func(error) {}) // asked for again where it is lost
@@ -192,6 +207,14 @@
 	n := len(roll.Voters)
 	need := n - ballot.Majority(n) + 1 // with fewer others heard, a majority that held this member may have none among them
 	known, _ := ask[codebook.Mustered](p, addrs, codebook.Muster, codebook.MusterCall{Addr: p.o.Addr})
+	for _, k := range known {
+		if k.Roll.Epoch > roll.Epoch {
+			return func(b *books) {
+				b.mustering = false
+				b.hear(k.Roll, func(error) {})
+			}
+		}
+	}
 	if len(known) < need {
 		return nil
 	}
@@ -239,8 +262,10 @@
 		return
 	}
 	b.clear()
+	b.seal, b.sealed, b.past, b.former = relief.Seal{}, false, nil, manifest.Ballot{}
 	incs := make([]uint64, len(b.roll.Voters))
 	incs[b.me] = inc
+	voted := false // somebody accepted the value in this epoch
 	for _, g := range got {
 		for i, k := range g.m.Vouch.Incs {
 			if i < len(incs) && i != b.me {
@@ -251,16 +276,23 @@
 			b.acc.Promised = g.m.Promised
 		}
 		if b.acc.Accepted.Less(g.m.Accepted) {
-			b.acc.Accepted = g.m.Accepted
+			b.acc.Accepted, voted = g.m.Accepted, false
 			b.acc.Value = manifest.Set{}
 			for _, i := range g.m.Items {
 				b.acc.Value[i.Key] = i
 			}
 		}
+		voted = voted || g.m.Accepted == b.acc.Accepted && !g.m.Former
+		if g.m.Seal != nil {
+			b.seal.Learn(*g.m.Seal)
+		}
 		for _, c := range g.claims {
 			b.ledger.Restore(b.now(), c.Key, c.ID)
 		}
 	}
+	if !voted {
+		b.former = b.acc.Accepted
+	}
 	for _, g := range got {
 		if g.m.Chosen == b.acc.Accepted {
 			b.acc.Learn(g.m.Chosen)
@@ -271,6 +303,9 @@
 		puts = append(puts, putItem(i))
 	}
 	b.ledger.All(func(key string, id tally.ID) { puts = append(puts, putClaim(key, id)) })
+	if b.roll.Epoch > 1 || b.seal.Shut() || !b.seal.Promised.IsZero() {
+		puts = append(puts, b.putChange()...)
+	}
 	puts = append(left, puts...) // in one order: what shall be there comes after
 	saved := b.incs
 	b.incs = incs
@@ -282,7 +317,7 @@
 			b.p.o.Log("repair", err.Error())
 			return
 		}
-		b.incs = incs
+		b.incs, b.sealed = incs, b.seal.Shut()
 		b.set(Serving)
 		b.p.o.Log("repair", fmt.Sprintf("made up for by %d others: incarnation %d, %d items, %d keys", len(got), inc, len(b.acc.Value), b.ledger.Len()))
 		b.wake()
--- a/internal/relief/relief.go
+++ b/internal/relief/relief.go
@@ -45,10 +45,11 @@
 	Promised manifest.Ballot `cbor:"1,keyasint"` // no lower ballot is taken
 	Accepted manifest.Ballot `cbor:"2,keyasint"` // of Next
 	Next     Roll            `cbor:"3,keyasint"`
+	Closed   bool            `cbor:"4,keyasint,omitempty"` // it slept through the vote, and heard that a successor is chosen
 }
 
 // Shut reports whether the epoch has ended for this voter.
-func (s *Seal) Shut() bool { return !s.Accepted.IsZero() }
+func (s *Seal) Shut() bool { return s.Closed || !s.Accepted.IsZero() }
 
 // Prepare takes the promise to take nothing lower than b, and reports whether it was given. It counts once it is on disk.
 func (s *Seal) Prepare(b manifest.Ballot) bool {
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -50,15 +50,19 @@
 
 // Restore takes a claim that another member told, for a member that lost its own. Where two told different claims of one key,
 // this member may have granted either before its loss, and that one may have won: then nobody holds it, and nobody gets it.
-func (l *Ledger) Restore(now time.Duration, key string, id ID) {
+// It gives who holds the key then, and whether that is news.
+func (l *Ledger) Restore(now time.Duration, key string, id ID) (holder ID, news bool) {
 	h, ok := l.held[key]
 	switch {
 	case !ok:
 		l.Claim(now, key, id)
+		return id, true
 	case h != id && !h.IsZero():
 		l.held[key] = ID{}
 		l.order = append(l.order, entry{key, ID{}, now})
+		return ID{}, true
 	}
+	return h, false
 }
 
 // Release gives a key back, if id holds it.
