--- a/internal/drydock/day.go
+++ b/internal/drydock/day.go
@@ -75,7 +75,7 @@
 	var failed []surveyor.Broken
 	bubble(t, func(t testing.TB) {
 		w := newWorld(seed, dir)
-		w.flaw, w.fault, w.without = flaw, d.Faults, d.Without
+		w.flaw, w.fault, w.without, w.lost = flaw, d.Faults, d.Without, d.Lost
 		w.log.Floor = d.Floor
 		w.begin(t)
 		op := w.operator("10.9.0.2")
--- a/internal/drydock/epochs.go
+++ b/internal/drydock/epochs.go
@@ -32,7 +32,7 @@
 			return
 		}
 	}
-	w.t.Errorf("%8.3f %s is %s in epoch %d, not %s in %d", w.now().Seconds(), c.name, is.State, is.Roll.Epoch, s, epoch)
+	w.must(fmt.Errorf("%8.3f %s is %s in epoch %d, not %s in %d", w.now().Seconds(), c.name, is.State, is.Roll.Epoch, s, epoch))
 }
 
 // replace asks a harbourmaster to have one core machine take another's place among those that count.
@@ -48,12 +48,12 @@
 func (o *operator) changed(version, at int, service string) {
 	c := &surveyor.Call{Items: []surveyor.Item{with(routes[0], func(r *route) { r.services = []string{service} }).item(version)}}
 	if !o.send(c, at, 6*time.Second) {
-		o.w.t.Errorf("%8.3f change %d was not taken", o.w.now().Seconds(), version)
+		o.w.must(fmt.Errorf("%8.3f change %d was not taken", o.w.now().Seconds(), version))
 	}
 }
 
-// without kills a core machine for a while in which all has to go on.
-func (w *World) without(c *coreMachine, op *operator, version int) {
+// bears kills a core machine for a while in which all has to go on.
+func (w *World) bears(c *coreMachine, op *operator, version int) {
 	over := w.trouble("kill", c.name, true)
 	c.kill()
 	op.changed(version, (c.n+1)%4, "ledger")
@@ -77,7 +77,7 @@
 	w.becomes(d, purser.Serving, 2, 9*time.Second)
 	over()
 	w.pause(3100 * time.Millisecond)
-	w.without(w.core[(at+1+r.IntN(2))%3], op, 8)
+	w.bears(w.core[(at+1+r.IntN(2))%3], op, 8)
 	if r.IntN(2) == 0 {
 		w.must(lost.wipe())
 	}
@@ -99,7 +99,7 @@
 	down.kill()
 	w.pause(time.Duration(r.IntN(800)) * time.Millisecond)
 	if t, err := op.replace([]*coreMachine{old, rest, d}[r.IntN(3)], old, d); err != nil || t.Why != "" {
-		w.t.Errorf("the roll was not changed: %v, %s", err, t.Why)
+		w.must(fmt.Errorf("the roll was not changed: %v, %s", err, t.Why))
 	}
 	w.becomes(d, purser.Serving, 2, time.Second)
 	w.becomes(old, purser.Apart, 2, time.Second)
@@ -111,7 +111,7 @@
 	over = w.trouble("power", old.name, true)
 	old.powerOff()
 	over()
-	w.without(rest, op, 8)
+	w.bears(rest, op, 8)
 }
 
 // voterAmid has the operator ask for two rolls at once, and kills both harbourmasters, or one machine, amid that.
@@ -148,5 +148,5 @@
 	op.changed(7, r.IntN(4), "ledger")
 	w.becomes(d, purser.Serving, 2, 6*time.Second)
 	w.pause(3100 * time.Millisecond)
-	w.without(d, op, 8)
+	w.bears(d, op, 8)
 }
--- a/internal/purser/purser.go
+++ b/internal/purser/purser.go
@@ -770,7 +770,7 @@
 		return
 	}
 	since := b.p.ailing.Load()
-	if since != 0 && b.now()-time.Duration(since-1) > ailsFor && b.state != NoDisk && !b.accepting && !b.mustering {
+	if since != 0 && b.now()-time.Duration(since-1) > ailsFor && b.state != NoDisk && !b.accepting && !b.mustering && !b.taking {
 		b.reopen()
 		return
 	}
