--- /dev/null
+++ b/internal/purser/relief_test.go
@@ -0,0 +1,105 @@
+package purser
+
+import (
+	"testing"
+
+	"saltmast/internal/codebook"
+	"saltmast/internal/duty"
+	"saltmast/internal/hold"
+	"saltmast/internal/manifest"
+	"saltmast/internal/plight"
+	"saltmast/internal/relief"
+	"saltmast/internal/signal"
+	"saltmast/internal/tally"
+)
+
+// A voter that accepted who comes next grants nothing from then on, answers once that is on disk, hands its books over only
+// then, and is as silent after a restart. The duty of changing the roll alone can still be had of it.
+func TestSealed(t *testing.T) {
+	d := newDesk(t, Options{Bootstrap: true, Found: voters})
+	d.as = hold.Empty
+	d.duties = duty.NewLedger(-duty.Span)
+	d.open()
+	d.settle()
+	claim := func(d *desk, key string) plight.Kind {
+		r := d.call(codebook.Claim, codebook.ClaimCall{Key: key, ID: tally.ID{Life: 1, N: 1}, Epoch: 1})
+		d.settle()
+		return plight.Of(r.err)
+	}
+	if k := claim(d, "before"); k != plight.OK {
+		t.Fatal(k)
+	}
+	next := codebook.Roll{Epoch: 2, Voters: voters, Was: voters}
+	accept := d.call(codebook.Succeed, codebook.SucceedCall{Epoch: 1, B: manifest.Ballot{N: 1, By: 1}, Next: &next})
+	hand := func(d *desk) (h codebook.Handed, k plight.Kind) {
+		r := d.call(codebook.Handover, codebook.HandoverCall{Epoch: 2})
+		if r.err == nil {
+			if err := signal.Decode(r.body, &h); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return h, plight.Of(r.err)
+	}
+	if _, k := hand(d); accept.n != 0 || k != plight.Gone {
+		t.Errorf("%d answers, handed over %v, before the seal is on disk", accept.n, k)
+	}
+	if r := d.call(codebook.Claim, codebook.ClaimCall{Key: "amid", ID: tally.ID{Life: 1, N: 1}, Epoch: 1}); plight.Of(r.err) != plight.Gone {
+		t.Errorf("a claim while the seal is on its way: %v", r.err)
+	}
+	d.settle()
+	var a relief.Answer
+	if accept.n != 1 || signal.Decode(accept.body, &a) != nil || !a.Given {
+		t.Fatalf("%d answers, %+v", accept.n, a)
+	}
+	again := newDesk(t, Options{})
+	again.as, again.paper = hold.Whole, d.paper
+	again.duties = duty.NewLedger(-duty.Span)
+	again.open()
+	again.settle()
+	for name, d := range map[string]*desk{"sealed": d, "sealed and started again": again} {
+		if k := claim(d, "after"); k != plight.Gone {
+			t.Errorf("%s: a claim: %v", name, k)
+		}
+		if r := d.call(codebook.Prepare, codebook.PrepareCall{B: manifest.Ballot{N: 9}, Epoch: 1}); plight.Of(r.err) != plight.Gone {
+			t.Errorf("%s: a promise: %v", name, r.err)
+		}
+		for of, want := range map[duty.Name]plight.Kind{duty.Teach: plight.Gone, duty.Roll: plight.OK} {
+			if r := d.call(codebook.Lease, codebook.LeaseCall{Duty: of, By: 7, Epoch: 1}); plight.Of(r.err) != want {
+				t.Errorf("%s: the duty %s: %v", name, of, r.err)
+			}
+		}
+		if h, k := hand(d); k != plight.OK || h.Estate.Holds || len(h.Claims) != 1 {
+			t.Errorf("%s: handed over %v, %+v", name, k, h)
+		}
+	}
+}
+
+// A voter that slept through the change and does not count any more keeps its books for those that take over, from when that is
+// on disk. One that counts and is not on the disk that the roll names makes up for it as a lost one.
+func TestRelieved(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		next []codebook.Voter
+		want State
+	}{
+		{"replaced", []codebook.Voter{{Addr: "d:1"}, {Addr: "b:1"}, {Addr: "c:1"}}, Apart},
+		{"on another disk", []codebook.Voter{{Addr: "a:1", Disk: 5}, {Addr: "b:1"}, {Addr: "d:1"}}, Repairing},
+	} {
+		d := newDesk(t, Options{Bootstrap: true, Found: voters})
+		d.as, d.duties = hold.Empty, duty.NewLedger(0)
+		d.open()
+		d.settle()
+		d.mustering = true // no test here waits for a repair
+		d.call(codebook.Relieve, codebook.RelieveCall{Roll: codebook.Roll{Epoch: 2, Voters: c.next, Was: voters}})
+		if r := d.call(codebook.Handover, codebook.HandoverCall{Epoch: 2}); plight.Of(r.err) != plight.Gone {
+			t.Errorf("%s: handed over before it is on disk: %v", c.name, r.err)
+		}
+		d.settle()
+		if r := d.call(codebook.Handover, codebook.HandoverCall{Epoch: 2}); d.state != c.want || r.err != nil {
+			t.Errorf("%s: %s, handed over: %v", c.name, d.state, r.err)
+		}
+		if r := d.call(codebook.Claim, codebook.ClaimCall{Key: "k", ID: tally.ID{Life: 1, N: 1}, Epoch: 1}); plight.Of(r.err) != plight.Gone {
+			t.Errorf("%s: a claim of the old epoch: %v", c.name, r.err)
+		}
+	}
+}
