Lookout: roll asks for other voters, with a dry run

`lookout --at ADDR roll [NODE...] [--replace OLD=NEW] [--dry]` brings the operator's word to the first harbourmaster that answers, and asks no other once one may have begun. While there is no machine to take a lost voter's place, one is looked for ten times in the span after which it counted as lost, not each second.

--- a/internal/harbour/harbour.go
+++ b/internal/harbour/harbour.go
@@ -90,6 +90,7 @@
 	shut    []time.Time     // by place: since when the member is sealed; zero: it is not
 	decree  manifest.Ballot // the highest heard of, of the next roll
 	since   time.Time       // that this roll is watched
+	sought  time.Time       // when another voter was looked for last
 }
 
 type puller struct {
--- a/internal/harbour/rolls.go
+++ b/internal/harbour/rolls.go
@@ -25,6 +25,7 @@
 	readyTime   = 700 * time.Millisecond
 	relieveTime = 1500 * time.Millisecond
 	rollTime    = 4 * time.Second        // of one change, with the tries that stand in each other's way
+	seekPart    = 10                     // of the time after which a voter is lost, between looks for another
 	haltTime    = 300 * time.Millisecond // a voter may be sealed for so long before the change counts as interrupted
 )
 
@@ -73,7 +74,8 @@
 		return
 	}
 	for i, at := range b.heard {
-		if now.Sub(at) >= lost && b.may(duty.Roll) {
+		if now.Sub(at) >= lost && now.Sub(b.sought) >= lost/seekPart && b.may(duty.Roll) {
+			b.sought = now
 			masters := b.pursers()
 			b.turn("a voter that is lost", func(roll codebook.Roll) ([]codebook.Voter, error) {
 				return b.h.replace(roll, i, masters, lost), nil
--- a/internal/lookout/lookout.go
+++ b/internal/lookout/lookout.go
@@ -25,10 +25,12 @@
 	JSON     bool    `arg:"--json" help:"print it all as JSON and end"`
 	Wait     float64 `arg:"--wait" default:"1" placeholder:"SECONDS" help:"for an agent's answer"`
 	Every    float64 `arg:"--every" default:"2" placeholder:"SECONDS" help:"between two looks"`
+
+	Roll *rollArgs `arg:"subcommand:roll" help:"change who counts"`
 }
 
 func (args) Description() string {
-	return "The console of the mesh: what each program knows, and what they tell differently. It changes nothing."
+	return "The console of the mesh: what each program knows, and what they tell differently. It changes nothing, but for roll."
 }
 func (args) Version() string { return "violetlatch " + launch.Version }
 func (args) Epilogue() string {
@@ -75,6 +77,9 @@
 	if k.At, err = where(a); err != nil {
 		return wrong("%v", err)
 	}
+	if a.Roll != nil {
+		return a.Roll.change(k.At, out, wrong)
+	}
 	if a.Once || a.JSON {
 		return once(k, a.JSON, out, wrong)
 	}
