Shakedown: real processes through a change of the roll

A fourth core machine takes the place of a voter that was killed and lost its disk, on the operator's word, and then another voter is killed: keys acknowledged before keep their answers, new ones and a change go on.

--- a/internal/shakedown/mesh.go
+++ b/internal/shakedown/mesh.go
@@ -70,8 +70,11 @@
 	bin   string
 	dir   string
 	ports int // the first of the range
+	spare string
 	Cores []*Machine
 	Sides []*Machine
+
+	others []*Machine
 }
 
 // Machine is one address with its programs.
@@ -93,8 +96,9 @@
 func Start(t testing.TB, bin string, services ...string) *Mesh {
 	t.Helper()
 	m := &Mesh{t: t, bin: bin, dir: t.TempDir()}
-	ips := m.probe(3 + len(services))
-	for i, ip := range ips {
+	ips := m.probe(4 + len(services))
+	m.spare = ips[3+len(services)]
+	for i, ip := range ips[:3+len(services)] {
 		zone := "north"
 		if i%2 == 1 {
 			zone = "south"
@@ -124,6 +128,15 @@
 	return m
 }
 
+// Another starts a fourth core machine, which is no seed.
+func (m *Mesh) Another() *Machine {
+	x := &Machine{m: m, Name: "core-3", IP: m.spare, Zone: "south"}
+	x.Harbour, x.Purser = x.process("harbourmaster"), x.process("purser")
+	m.others = append(m.others, x)
+	x.Start(false)
+	return x
+}
+
 // probe finds n loopback addresses and a range of ports that is free on all of them.
 func (m *Mesh) probe(n int) []string {
 	var last error
@@ -218,7 +231,7 @@
 
 // end ends everything, and tells what the programs said where the test has failed.
 func (m *Mesh) end() {
-	for _, x := range slices.Concat(m.Sides, m.Cores) {
+	for _, x := range slices.Concat(m.Sides, m.Cores, m.others) {
 		if x.Backend != nil {
 			x.Backend.Close()
 		}
@@ -237,7 +250,7 @@
 	if !m.t.Failed() {
 		return
 	}
-	for _, x := range slices.Concat(m.Sides, m.Cores) {
+	for _, x := range slices.Concat(m.Sides, m.Cores, m.others) {
 		for _, p := range x.programs {
 			for _, l := range p.lines[max(0, len(p.lines)-80):] {
 				m.t.Logf("%s %s: %s %s", x.Name, p.Program, l.Event, l.Text)
