--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/bits"
@@ -116,7 +117,8 @@
 	since time.Duration // that it is as it is
 }
 
-// New listens; what it hears is merged from then on, and Run says something.
+// New listens; what it hears is merged from then on, and Run says something. Where another has the address, or the name is one
+// that others refuse, it goes on alone and Run tries again.
 func New(o Options) (*Peers, error) {
 	p := &Peers{o: o, self: shared.Agent{Name: o.Name, Incarnation: o.Incarnation}, began: time.Now(), log: o.Log.With("part", "peers"),
 		members: map[string]*member{}, came: make(chan netip.AddrPort, joinAtOnce), done: make(chan struct{}), witness: shared.NewWitness(), said: map[string]time.Duration{}, rng: rand.New(rand.NewPCG(o.Incarnation, 1)), queue: shared.NewQueue(o.BytesASec)}
@@ -125,7 +127,7 @@
 	if o.Retries != nil {
 		p.rights = shared.NewWrong(p.self, *o.Retries, p.now(), o.Wrong)
 	}
-	if err := p.listen(); err != nil && !inUse(err) {
+	if err := p.listen(); err != nil && !inUse(err) && !errors.Is(err, roster.ErrMember) {
 		return nil, err
 	}
 	return p, nil
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -221,6 +221,16 @@
 	rig.Until(t, "the address", func() bool { return after.Addr() == o.Listen && after.View().Alive == 1 })
 }
 
+// Others would refuse it: it goes on alone, and says why.
+func TestANameThatIsTooLongTakesNoPart(t *testing.T) {
+	log := &rig.Capture{}
+	p, _ := start(t, options(strings.Repeat("n", roster.NameBytes+1), log))
+	rig.Until(t, "a word of it", func() bool { return log.Has("a name of 65 bytes") })
+	if p.Addr() != "" {
+		t.Error("it listens")
+	}
+}
+
 func TestABadAddressEndsTheStart(t *testing.T) {
 	o := options("a", &rig.Capture{})
 	for _, addr := range []string{"127.0.0.1", "here:1", "192.0.2.1:1"} {
@@ -334,6 +344,9 @@
 	for _, name := range []string{"a", "b", "c"} {
 		o := options(name, &rig.Capture{})
 		o.BytesASec, o.Key = 0, []byte("0123456789abcdef")
+		if name != "b" {
+			o.Exchange = time.Hour // it is asked, and answers
+		}
 		if len(all) > 0 {
 			o.Join = join(all[0])
 		}
@@ -341,8 +354,27 @@
 		all = append(all, p)
 	}
 	rig.Until(t, "all to know each other", func() bool { return all[0].View().Alive == 3 })
-	all[1].Count(0, 0, shared.Requests)
-	rig.Until(t, "the counts", func() bool { return count(all[0], "look") == 1 && count(all[2], "look") == 1 })
+	for n := range uint64(3) { // the first may go with the states that are exchanged as they meet
+		all[0].Count(0, 0, shared.Requests)
+		rig.Until(t, "the counts", func() bool { return count(all[1], "look") == n+1 && count(all[2], "look") == n+1 })
+	}
+}
+
+// Counts are told, and a farewell is, without a probe or an exchange.
+func TestCountsAndFarewellsWaitForNoProbe(t *testing.T) {
+	oa, ob := options("a", &rig.Capture{}), options("b", &rig.Capture{})
+	oa.Probe, oa.Exchange = time.Hour, time.Hour
+	ob.Probe, ob.Exchange = time.Hour, time.Hour
+	a, _ := start(t, oa)
+	ob.Join = join(a)
+	b, end := start(t, ob)
+	rig.Until(t, "both to know each other", func() bool { return a.View().Alive == 2 && b.View().Alive == 2 })
+	for n := range uint64(3) { // the first may go with the state that is exchanged as they meet
+		b.Count(0, 0, shared.Requests)
+		rig.Until(t, "its counts", func() bool { return count(a, "look") == n+1 })
+	}
+	end()
+	rig.Until(t, "its farewell", func() bool { return a.View().Alive == 1 })
 }
 
 // One that is told to stop leaves what it has counted with others, whatever its line allowed it to tell before.
@@ -362,7 +394,9 @@
 
 // Connections that come while it shuts down hold nothing up, though nobody says anything by them.
 func TestShutdownWaitsForNoConnection(t *testing.T) {
-	p, err := New(options("a", &rig.Capture{}))
+	o := options("a", &rig.Capture{})
+	o.Probe = time.Hour // connections have their longest time
+	p, err := New(o)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -373,10 +407,11 @@
 		}
 		defer conn.Close()
 	}
-	ended := make(chan error, 1)
-	go func() { p.Close(); ended <- nil }()
-	if err := rig.Receive(t, ended); err != nil {
-		t.Error(err)
+	ended := make(chan time.Duration, 1)
+	began := time.Now()
+	go func() { p.Close(); ended <- time.Since(began) }()
+	if took := rig.Receive(t, ended); took > streamFor/2 {
+		t.Errorf("it took %v", took)
 	}
 }
 
