Gangway: the word that nobody gave is no yes, by the table's own zero

A helm that has ended answers nothing, and the zero of its answer was a yes to another attempt: a request under way in a proxy that ends went on without a pause. That had been mended where it is asked; now zero means undecided, so no other place can read it as a yes.

--- a/internal/gangway/front.go
+++ b/internal/gangway/front.go
@@ -517,7 +517,7 @@
 		}
 		failed = c.node
 		var wait time.Duration
-		no := enough // also where the helm has ended: nobody decides any more
+		var no denial
 		g.helm.Ask(func(h *Helm) {
 			wait, no = h.Again(g.now(), v.route, service, retries, k, sent > 0, time.Until(v.cut))
 		})
--- a/internal/gangway/helm.go
+++ b/internal/gangway/helm.go
@@ -233,14 +233,15 @@
 	}
 }
 
-// denial says why there is no further attempt.
+// denial says why there is no further attempt. Zero is no yes: it is what a helm that has ended leaves.
 type denial uint8
 
 const (
-	granted  denial = iota
-	enough          // its attempts or its time are used up
-	noTokens        // the bucket is low
-	noRation        // the service got as many further arrivals as it may
+	undecided denial = iota // nobody was there to say
+	granted
+	enough   // its attempts or its time are used up
+	noTokens // the bucket is low
+	noRation // the service got as many further arrivals as it may
 )
 
 // Again decides whether a request that failed gets another attempt, and after what wait. sent: an attempt may have reached a
--- a/internal/gangway/way_test.go
+++ b/internal/gangway/way_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -17,6 +18,7 @@
 	"saltmast/internal/drydock/sea"
 	"saltmast/internal/manifest"
 	"saltmast/internal/pilot"
+	"saltmast/internal/sock"
 	"saltmast/internal/tally"
 )
 
@@ -135,6 +137,37 @@
 	})
 }
 
+// dials is a network on which no connection comes up.
+type dials struct {
+	sock.Net
+	dial func()
+}
+
+func (d dials) Dial(context.Context, string, time.Duration) (net.Conn, error) {
+	d.dial()
+	return nil, net.ErrClosed
+}
+
+// A request under way when its proxy ends is given up: nobody is left to allow another attempt.
+func TestHelmThatEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWay(t, lookup, func(io.Writer, *http.Request) { t.Error("it ran") })
+		w.Gate.Leave("i-1")
+		w.Learn([]berths.Berth{{Node: "m", Addr: "10.0.0.2:82", Zone: "south", Version: 1, Instance: "i-2", Service: "ledger", Capacity: 1, State: berths.Serving}})
+		n := 0
+		w.hops.pool.Net = dials{w.p, func() {
+			if n++; n == 1 {
+				w.helm.End()
+			} else if n > 20 {
+				time.Sleep(time.Minute) // else its time never ends
+			}
+		}}
+		if r, _, err := w.ask(t, "GET /a/1 HTTP/1.1", nil); err != nil || r.StatusCode != 503 || n != 1 {
+			t.Errorf("%v, %v after %d attempts, want 503 after one", r, err, n)
+		}
+	})
+}
+
 // A body may take as long as it brings something: it is its silence that is bounded.
 func TestSlowBody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/purser/purser_test.go
+++ b/internal/purser/purser_test.go
@@ -595,6 +595,18 @@
 			t.Errorf("%s with %d keys", d.state, d.ledger.Len())
 		}
 	}
+	// Amid a taking over the file stays: the rest of the books is on its way there.
+	amid := founded(t)
+	amid.p.ailing.Store(1)
+	amid.begun, amid.taking = amid.begun.Add(-2*ailsFor), true
+	if amid.tick(); amid.disk != disk(amid.paper) || amid.state != Serving {
+		t.Error("a disk was opened anew amid a taking over")
+	}
+	amid.taking, amid.paper = false, newPaper()
+	amid.tick()
+	if amid.settle(); amid.disk != disk(amid.paper) {
+		t.Error("a disk that fails was not opened anew behind a taking over")
+	}
 	// What was found damaged and could not be put aside is empty at the next look.
 	d := newDesk(t, Options{Bootstrap: true, Found: voters})
 	begin := d.p.begin
