--- a/cmd/latchkit/drydock.go
+++ b/cmd/latchkit/drydock.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -18,7 +19,14 @@
 	"saltmast/internal/drydock"
 )
 
-const maxDays = 100_000
+const (
+	maxDays = 100_000
+	// dayMost is far longer than a day of any kind takes on a crowded machine: a few seconds.
+	dayMost = 2 * time.Minute
+)
+
+// errBroke is the end of a hunt that found something, which has told so.
+var errBroke = &ending{status: statusOther}
 
 // drydockFlags are the flags of drydock.
 type drydockFlags struct {
@@ -83,14 +91,11 @@
 	if err != nil {
 		return usage(err)
 	}
-	broke := false
+	var ended error
 	err = drydock.Within(func(t *testing.T) {
-		broke = f.hunt(cmd, drydock.Hunter{T: t, Jobs: f.jobs, Flaw: flaw}, days)
+		ended = f.hunt(cmd, drydock.Hunter{T: t, Jobs: f.jobs, Flaw: flaw, Most: dayMost}, days)
 	})
-	if err == nil && broke {
-		return &ending{status: statusOther}
-	}
-	return other(err)
+	return other(cmp.Or(err, ended))
 }
 
 // drawn are the days to play. on: a variant is played by its seed and those behind it.
@@ -119,8 +124,8 @@
 	return days, nil
 }
 
-// hunt plays the days and reports whether a rule broke.
-func (f *drydockFlags) hunt(cmd *cobra.Command, h drydock.Hunter, days []drydock.Variant) bool {
+// hunt plays the days. errBroke: a rule broke. Days that were not played are no days that kept the rules.
+func (f *drydockFlags) hunt(cmd *cobra.Command, h drydock.Hunter, days []drydock.Variant) error {
 	ctx, out, notes := cmd.Context(), cmd.OutOrStdout(), cmd.ErrOrStderr()
 	begun, n := time.Now(), 0
 	bad := h.All(ctx, days, func(o drydock.Outcome) {
@@ -138,17 +143,20 @@
 		}
 		fmt.Fprintf(out, "%d/%d %s/%d %.1f s %s: %s\n", n, len(days), o.Name, o.Seed, o.Took.Seconds(), verdict, o.Tell)
 	})
+	if bad == nil && n < len(days) {
+		return fmt.Errorf("stopped: %d of %d days were played, in which no rule broke", n, len(days))
+	}
 	if bad == nil {
 		if !f.json {
 			fmt.Fprintf(out, "%d days, no rule broken, in %.0f s\n", n, time.Since(begun).Seconds())
 		}
-		return false
+		return nil
 	}
 	if !f.json {
 		fmt.Fprintf(out, "\n%s/%d broke %s\n", bad.Name, bad.Seed, bad.Broken[0])
 	}
-	if f.trials <= 0 {
-		return true
+	if f.trials <= 0 || bad.Hung {
+		return errBroke
 	}
 	s := drydock.Shrink{Hunter: h, Rule: bad.Broken[0].Rule, Plays: f.plays, Most: f.trials, Say: func(line string) { fmt.Fprintln(notes, line) }}
 	small, broke, of := s.Find(ctx, *bad)
@@ -160,10 +168,10 @@
 			Of       int             `json:"of"`
 			Steps    []drydock.Step  `json:"steps"`
 		}{small.Variant, s.Rule, broke, of, small.Steps})
-		return true
+		return errBroke
 	}
 	fmt.Fprintf(out, "\nthe smallest, which broke %s in %d of %d plays:\n%s", s.Rule, broke, of, small.Smallest(s.Rule))
-	return true
+	return errBroke
 }
 
 func drydockLine(out io.Writer, v any) {
--- a/internal/drydock/days.go
+++ b/internal/drydock/days.go
@@ -305,7 +305,12 @@
 // sideStop stops a proxy in order, and starts it again.
 func sideStop(w *World, op *operator) {
 	w.middle(op.r)
-	m := w.tugs[op.r.IntN(4)]
+	w.tugs[op.r.IntN(4)].restart()
+}
+
+// restart stops a proxy in order, and starts it again.
+func (m *tugMachine) restart() {
+	w := m.w
 	t := &surveyor.Trouble{Kind: "stop", Machine: m.name, Planned: true, From: w.now(), To: 1 << 60}
 	w.log.AddTrouble(t)
 	m.stop()
--- a/internal/drydock/drydock_test.go
+++ b/internal/drydock/drydock_test.go
@@ -1,11 +1,13 @@
 package drydock
 
 import (
+	"context"
 	"flag"
 	"os"
 	"slices"
 	"strconv"
 	"testing"
+	"time"
 )
 
 var (
@@ -60,3 +62,25 @@
 		}
 	}
 }
+
+// A day in which time stands still is given up, as one that broke a rule; a hunt that is stopped plays no more.
+func TestDayWithoutAnEnd(t *testing.T) {
+	let := make(chan struct{}) // of no bubble: who waits there keeps its time from going on
+	spins := Variant{1, Day{Name: "spins", Length: time.Second, Events: func(*World, *operator) { <-let }}}
+	t.Run("days", func(t *testing.T) {
+		h := Hunter{T: t, Jobs: 1, Most: time.Millisecond}
+		bad := h.All(t.Context(), []Variant{spins}, func(Outcome) {})
+		close(let)
+		if bad == nil || !bad.Hung || bad.Broken[0].Rule != "WORLD" {
+			t.Fatalf("a day that came to no end: %+v", bad)
+		}
+		if p := <-bad.rest; p.log == nil {
+			t.Error("it came to none when it could go on")
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		stop()
+		if bad := h.All(ctx, []Variant{spins}, func(Outcome) { t.Error("it was played") }); bad != nil {
+			t.Errorf("a hunt that was stopped: %+v", bad)
+		}
+	})
+}
--- a/internal/drydock/hunt.go
+++ b/internal/drydock/hunt.go
@@ -28,6 +28,8 @@
 	Broken []surveyor.Broken // the first first
 	Steps  []Step            // what the day did
 	empty  bool              // no client came
+	Hung   bool              // it came to no end, and still runs
+	rest   <-chan played     // of one that hung: its end
 }
 
 // Drawn are n days from a seed on: of one kind, or of all kinds in turn, each kind by seed, seed+1, ...
@@ -63,14 +65,31 @@
 	T    *testing.T
 	Jobs int
 	Flaw Flaw
+	Most time.Duration // of real time for one day; 0: any. In a day that spins, virtual time stands still, and it never ends
 }
 
 // Play plays one variant once.
 func (h *Hunter) Play(v Variant) (o Outcome) {
 	o.Variant = v
 	begun := time.Now()
+	ended := make(chan played, 1)
+	go func() {
+		var p played
+		defer func() { ended <- p }()
+		h.T.Run(fmt.Sprint(v.Name, "-", v.Seed), func(t *testing.T) { p = play(t, v.Day, v.Seed, h.Flaw) })
+	}()
+	var late <-chan time.Time
+	if h.Most > 0 {
+		t := time.NewTimer(h.Most)
+		defer t.Stop()
+		late = t.C
+	}
 	var p played
-	h.T.Run(fmt.Sprint(v.Name, "-", v.Seed), func(t *testing.T) { p = play(t, v.Day, v.Seed, h.Flaw) })
+	select {
+	case p = <-ended:
+	case <-late:
+		o.Hung, o.rest = true, ended
+	}
 	o.Took = time.Since(begun)
 	if p.log == nil {
 		o.Tell, o.Broken, o.empty = "came to no end", []surveyor.Broken{{Rule: "WORLD", Lines: []string{"the day came to no end"}}}, true
--- a/internal/drydock/seeds.go
+++ b/internal/drydock/seeds.go
@@ -52,12 +52,7 @@
 	c, m := w.core[r.IntN(3)], w.tugs[r.IntN(4)]
 	c.seed, m.seed = one(), one() // who begins anew has to find one that is there
 	if !w.leaves("seeds: stop", m.name) {
-		t := &surveyor.Trouble{Kind: "stop", Machine: m.name, Planned: true, From: w.now(), To: 1 << 60}
-		w.log.AddTrouble(t)
-		m.stop()
-		w.pause(300 * time.Millisecond)
-		w.must(m.start())
-		t.To = w.now()
+		m.restart()
 	}
 	if !w.leaves("seeds: kill", c.name) {
 		over := w.trouble("kill", c.name, true)
