--- a/internal/ballot/explore_test.go
+++ b/internal/ballot/explore_test.go
@@ -1,7 +1,6 @@
 package ballot
 
 import (
-	"errors"
 	"testing"
 	"time"
 
@@ -405,12 +404,8 @@
 		begun := time.Now()
 		c.k.bases = map[[members]uint16]outcomes{}
 		n, err := explore.Whole(first, c.k.next, broken, 4e6)
-		var b *explore.Broken
-		switch {
-		case err != nil && !errors.As(err, &b), c.ok && err != nil:
-			t.Errorf("%s: %v", c.name, err)
-		case !c.ok && err == nil:
-			t.Errorf("%s: not found in %d states", c.name, n)
+		if wrong := explore.Verdict(c.ok, n, err); wrong != nil {
+			t.Errorf("%s: %v", c.name, wrong)
 		}
 		t.Logf("%s: %d states in %v", c.name, n, time.Since(begun).Round(time.Millisecond))
 	}
--- a/internal/duty/explore_test.go
+++ b/internal/duty/explore_test.go
@@ -1,7 +1,6 @@
 package duty
 
 import (
-	"errors"
 	"flag"
 	"math/bits"
 	"testing"
@@ -247,16 +246,12 @@
 		}
 		begun := time.Now()
 		n, err := explore.Whole(first, c.k.next, c.k.broken, 5e6)
-		var b *explore.Broken
-		switch {
-		case err != nil && !errors.As(err, &b), c.ok && err != nil:
-			t.Errorf("%s: %v", c.name, err)
-		case !c.ok && err == nil:
-			t.Errorf("%s: not found in %d states", c.name, n)
+		if wrong := explore.Verdict(c.ok, n, err); wrong != nil {
+			t.Errorf("%s: %v", c.name, wrong)
 		}
 		t.Logf("%s: %d states in %v", c.name, n, time.Since(begun).Round(time.Millisecond))
-		if b != nil && !c.ok {
-			t.Logf("\t%v", b)
+		if err != nil && !c.ok {
+			t.Logf("\t%v", err)
 		}
 	}
 }
--- a/internal/explore/explore.go
+++ b/internal/explore/explore.go
@@ -2,6 +2,7 @@
 package explore
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 )
@@ -46,3 +47,16 @@
 	}
 	return len(states), nil
 }
+
+// Verdict says what is wrong with what Whole came to where the space was to be whole, ok, or else a mutant's, in which a broken
+// state has to be found. nil: nothing is.
+func Verdict(ok bool, n int, err error) error {
+	var b *Broken
+	switch {
+	case err != nil && !errors.As(err, &b), ok && err != nil:
+		return err
+	case !ok && err == nil:
+		return fmt.Errorf("not found in %d states", n)
+	}
+	return nil
+}
--- a/internal/tally/explore_test.go
+++ b/internal/tally/explore_test.go
@@ -1,7 +1,6 @@
 package tally
 
 import (
-	"errors"
 	"testing"
 	"time"
 
@@ -463,12 +462,8 @@
 		begun := time.Now()
 		c.r.won = map[[members]uint32]bool{}
 		n, err := explore.Whole(begin(), c.r.next, broken, 3e6)
-		var b *explore.Broken
-		switch {
-		case err != nil && !errors.As(err, &b), c.ok && err != nil:
-			t.Errorf("%s: %v", c.name, err)
-		case !c.ok && err == nil:
-			t.Errorf("%s: not found in %d states", c.name, n)
+		if wrong := explore.Verdict(c.ok, n, err); wrong != nil {
+			t.Errorf("%s: %v", c.name, wrong)
 		}
 		t.Logf("%s: %d states in %v", c.name, n, time.Since(begun).Round(time.Millisecond))
 	}
