Purser: an older copy of its disk is found out, and made up for like a lost one

A purser whose disk is put back from an older copy had forgotten what it granted and took itself for whole: with another member that had been down, it made a majority for keys that had run. Weighed: waiting for the window at each start (stops keys after every restart). Now a mark goes to disk beside writes that go there anyway, at the most four times a second; it is told with watches, harbourmasters remember it by epoch and incarnation, and a purser that begins asks those beside all members, 60 ms at the most, before it speaks.

TestOlderCopyOfADisk: a copy, a disk of before a repair, one of before a change of the roll, its own.

--- a/internal/codebook/codebook.go
+++ b/internal/codebook/codebook.go
@@ -3,6 +3,7 @@
 package codebook
 
 import (
+	"cmp"
 	"hash/fnv"
 	"net"
 	"strconv"
@@ -57,6 +58,7 @@
 	Relieve                   // RelieveCall, Relieved: a roll that is chosen
 	Handover                  // HandoverCall, Handed: from a voter that takes over
 	Rolls                     // to harbourmasters: RollsCall, RollsTold: the operator's word
+	Known                     // to harbourmasters: KnownCall, Mark: from a purser that begins
 )
 
 // Voter is a member of those that count, and Roll the list of them.
@@ -111,6 +113,24 @@
 	State    string          `cbor:"7,keyasint"` // serving, repairing, without disk, apart
 	Keys     int             `cbor:"8,keyasint"`
 	Shut     bool            `cbor:"9,keyasint,omitempty"` // sealed: a change of the roll is under way
+	Mark     uint64          `cbor:"10,keyasint,omitempty"`
+}
+
+// Mark is how far a member's disk had come when it spoke as a member. A disk that is behind a mark that it told is an older copy.
+type Mark struct {
+	Epoch uint64 `cbor:"1,keyasint"`
+	Inc   uint64 `cbor:"2,keyasint"`
+	N     uint64 `cbor:"3,keyasint"` // counted up on disk, by writes that are some time apart
+}
+
+// Behind reports whether m is of an earlier time than n.
+func (m Mark) Behind(n Mark) bool {
+	return cmp.Or(cmp.Compare(m.Epoch, n.Epoch), cmp.Compare(m.Inc, n.Inc), cmp.Compare(m.N, n.N)) < 0
+}
+
+// KnownCall asks for the last mark that a member told.
+type KnownCall struct {
+	Addr string `cbor:"1,keyasint"`
 }
 
 // ClaimCall claims a key.
--- a/internal/drydock/days.go
+++ b/internal/drydock/days.go
@@ -45,6 +45,7 @@
 	{Name: "storm", Floor: 0.35, Length: 18 * time.Second, Keys: 0.3, Faults: Faults{Lose: 0.01, Cut: 0.01, Late: 0.01, Full: 0.02, Fail: 0.01}, Events: storm},
 	{Name: "links", Floor: 0.9, Length: 14 * time.Second, Keys: 0.3, Events: links},
 	{Name: "seeds", Floor: 0.95, Length: 16 * time.Second, Keys: 0.3, Events: seedsTurn},
+	{Name: "old-copy", Floor: 0.8, Length: 15 * time.Second, Rate: 30, Keys: 0.7, Again: 9 * time.Second, Events: oldCopy},
 	{Name: "voter-lost", Floor: 0.85, Length: 20 * time.Second, Keys: 0.5, Again: 6 * time.Second, Lost: 2 * time.Second, Events: voterLost},
 	{Name: "voter-asked", Floor: 0.85, Length: 17 * time.Second, Keys: 0.5, Again: 6 * time.Second, Events: voterAsked},
 	{Name: "voter-amid", Floor: 0.85, Length: 15 * time.Second, Keys: 0.5, Again: 6 * time.Second, Events: voterAmid},
--- a/internal/drydock/flaws.go
+++ b/internal/drydock/flaws.go
@@ -31,7 +31,12 @@
 	for len(c.kept) > 0 && c.kept[0].at <= now-early {
 		c.kept = c.kept[1:]
 	}
-	k := copied{now, map[string][]byte{}}
+	c.kept = append(c.kept, c.copy())
+}
+
+// copy is what is on disk now. Nothing may write there meanwhile.
+func (c *coreMachine) copy() copied {
+	k := copied{c.w.now(), map[string][]byte{}}
 	found, err := os.ReadDir(c.dir)
 	c.w.must(err)
 	for _, f := range found {
@@ -39,7 +44,50 @@
 		c.w.must(err)
 		k.files[f.Name()] = b
 	}
-	c.kept = append(c.kept, k)
+	return k
+}
+
+// put has the disk hold a copy and nothing else, with its purser gone.
+func (c *coreMachine) put(k copied) {
+	c.w.must(os.RemoveAll(c.dir))
+	c.w.must(os.MkdirAll(c.dir, 0o700))
+	for name, b := range k.files {
+		c.w.must(os.WriteFile(filepath.Join(c.dir, name), b, 0o600))
+	}
+}
+
+// oldCopy puts an older copy of a member's disk in its place: it has forgotten the keys that it granted with one other, while
+// the third was down, and all that was changed.
+func oldCopy(w *World, op *operator) {
+	at := op.r.IntN(3)
+	old, down := w.core[at], w.core[(at+1+op.r.IntN(2))%3]
+	change := func(version int) {
+		op.send(&surveyor.Call{Items: []surveyor.Item{with(routes[0], func(r *route) { r.services = []string{[]string{"ledger", "pump"}[version%2]} }).item(version)}}, op.r.IntN(3), 6*time.Second)
+	}
+	w.until(3 * time.Second)
+	over := w.trouble("kill", old.name, true)
+	old.killPurser()
+	<-old.gone
+	k := old.copy()
+	w.must(old.start())
+	over()
+	w.pause(time.Second)
+	over = w.trouble("kill", down.name, true)
+	down.kill()
+	w.pause(1500 * time.Millisecond)
+	change(7)
+	w.must(down.start())
+	over()
+	w.pause(4 * time.Second) // until then two would be lost at once
+	change(8)
+	over = w.trouble("old disk, kill", old.name, true)
+	old.kill()
+	<-old.gone
+	old.put(k)
+	w.must(old.start())
+	over()
+	w.pause(300 * time.Millisecond)
+	change(9)
 }
 
 // lose takes off the disk what it was to keep in the last moments before at, with its purser gone.
@@ -50,11 +98,7 @@
 		if k.at <= at-c.w.flaw.Early {
 			continue
 		}
-		c.w.must(os.RemoveAll(c.dir))
-		c.w.must(os.MkdirAll(c.dir, 0o700))
-		for name, b := range k.files {
-			c.w.must(os.WriteFile(filepath.Join(c.dir, name), b, 0o600))
-		}
+		c.put(k)
 		return
 	}
 }
--- a/internal/harbour/harbour.go
+++ b/internal/harbour/harbour.go
@@ -79,6 +79,7 @@
 	heard   []time.Time     // by place: when the member last spoke as one
 	pending []time.Time     // by place: since when it holds a value of which nobody knows whether it was chosen; zero: none
 	behind  []int           // by place: answers in a row that it was behind
+	marks   []codebook.Mark // by place: the last that it told
 	masters map[string]codebook.Master
 	sum     uint64                   // of masters
 	lost    map[string]time.Time     // of masters: since when nothing tells that they live
@@ -219,6 +220,7 @@
 		}
 		n := len(roll.Voters)
 		b.heard, b.pending, b.behind, b.shut = make([]time.Time, n), make([]time.Time, n), make([]int, n), make([]time.Time, n)
+		b.marks = make([]codebook.Mark, n)
 		b.since = time.Now()
 		clear(b.leases)
 		b.wake()
@@ -283,6 +285,9 @@
 	}
 	now := time.Now()
 	b.heard[place] = now
+	if place < len(w.Vouch.Incs) {
+		b.marks[place] = codebook.Mark{Epoch: w.Roll.Epoch, Inc: w.Vouch.Incs[place], N: w.Mark}
+	}
 	b.halted(place, w.Shut, now)
 	b.take(w.Chosen, w.Items)
 	switch {
@@ -421,6 +426,19 @@
 		h.report(c)
 	case codebook.Rolls:
 		h.rolls(c)
+	case codebook.Known:
+		var m codebook.KnownCall
+		if err := signal.Decode(c.Body, &m); err != nil {
+			c.Reply(nil, err)
+			return
+		}
+		h.own.Send(func(b *books) {
+			var known codebook.Mark
+			if at := h.council.Roll().Place(m.Addr); at >= 0 && at < len(b.marks) {
+				known = b.marks[at]
+			}
+			c.Reply(known, nil)
+		})
 	default:
 		c.Reply(nil, plight.New(plight.NoCall, "kind %d", c.Kind))
 	}
--- a/internal/harbour/harbour_test.go
+++ b/internal/harbour/harbour_test.go
@@ -59,6 +59,7 @@
 func TestRoundsInTurn(t *testing.T) {
 	h, b := ashore(t)
 	b.heard, b.pending, b.behind, b.shut = make([]time.Time, 3), make([]time.Time, 3), make([]int, 3), make([]time.Time, 3)
+	b.marks = make([]codebook.Mark, 3)
 	h.round <- struct{}{} // a round that takes long
 	long := time.Now().Add(-time.Minute)
 	for i := range 30 {
--- a/internal/purser/program.go
+++ b/internal/purser/program.go
@@ -34,7 +34,8 @@
 		return r, fmt.Errorf("%s: data-directory and %d ephemeral-ports wanted", s.Path, codebook.GatePort+1)
 	}
 	o := Options{Addr: s.Port(codebook.PurserPort), Dir: s.DataDir, Zone: s.Zone, Bootstrap: s.Bootstrap,
-		Window: s.Bounds.DedupWindow + keyMargin, MaxBytes: int64(s.DiskMB * (1 << 20) / 2), Net: on, Disk: disk, Log: log,
+		Window: s.Bounds.DedupWindow + keyMargin, MaxBytes: int64(s.DiskMB * (1 << 20) / 2), First: s.Ports[0],
+		Net: on, Disk: disk, Log: log,
 		Seeds: func() (out []string) {
 			s := r.s.Load()
 			for _, x := range s.Seeds {
--- a/internal/purser/purser.go
+++ b/internal/purser/purser.go
@@ -54,6 +54,7 @@
 	Seeds     func() []string  // where other pursers may be
 	Window    time.Duration    // keys are kept for so long at least
 	MaxBytes  int64            // on disk
+	First     int              // the first of the free ports, on every machine; 0: no harbourmaster is asked
 	Net       sock.Net         // nil: the system's
 	Disk      func() error     // of hold.Options
 	Log       func(event, text string)
@@ -72,9 +73,11 @@
 	Counts Counts
 	ended  chan struct{}
 	begin  func(hold.Options) (disk, hold.Start, error)
-	aside  func(func() func(*books)) // does what waits beside the owner's goroutine, and queues the command that it gives
-	later  func(func(*books))        // queues a command from where nobody may wait
-	ailing atomic.Int64              // since when, by books.now and plus one, each write failed that ended; 0: the last did not
+	aside  func(func() func(*books))           // does what waits beside the owner's goroutine, and queues the command that it gives
+	later  func(func(*books))                  // queues a command from where nobody may wait
+	known  func(codebook.Roll) []codebook.Mark // asks harbourmasters what this member told last
+	marked atomic.Uint64                       // the last mark that is on disk
+	ailing atomic.Int64                        // since when, by books.now and plus one, each write failed that ended; 0: the last did not
 }
 
 // disk is what a purser asks of its hold.
@@ -108,11 +111,14 @@
 	queued    []func(*books)
 	watchers  []*watcher
 	mustering bool
-	opening   bool   // the disk is being opened
-	founding  bool   // the founding is on its way to disk
-	used      bool   // a disk was in use before, or found damaged: an empty one is no beginning any more
-	closed    bool   // the purser ends
-	trouble   string // why the disk could not be opened or took no founding, as the log has it
+	opening   bool          // the disk is being opened
+	founding  bool          // the founding is on its way to disk
+	mark      uint64        // the last that was given to the disk
+	markAt    time.Duration // and when
+	old       codebook.Mark // that was told from a later disk than the one that was read; zero: none
+	used      bool          // a disk was in use before, or found damaged: an empty one is no beginning any more
+	closed    bool          // the purser ends
+	trouble   string        // why the disk could not be opened or took no founding, as the log has it
 }
 
 type watcher struct {
@@ -134,6 +140,7 @@
 // StartOn is Start on a listener that is open.
 func StartOn(o Options, l net.Listener) *Purser {
 	p := &Purser{o: o, ended: make(chan struct{}), begin: openHold}
+	p.known = p.askKnown
 	p.later = func(f func(*books)) { go p.own.Send(f) }
 	p.aside = func(f func() func(*books)) {
 		go func() {
@@ -246,6 +253,8 @@
 			if err = read.read(); err != nil { // nothing of it counts, above all not its incarnation: the next disk may be an empty one
 				disk.Close()
 				err = fmt.Errorf("reading: %w", err)
+			} else {
+				read.compare()
 			}
 		}
 		return func(b *books) { b.opened(read, found, err) }
@@ -270,9 +279,16 @@
 	b.trouble = ""
 	b.disk, b.acc, b.ledger, b.roll, b.incs, b.me = read.disk, read.acc, read.ledger, read.roll, read.incs, read.me
 	b.seal, b.sealed, b.former, b.number, b.past = read.seal, read.seal.Shut() || read.past != nil, read.former, read.number, read.past
+	b.mark, b.markAt = read.mark, b.now()
+	b.p.marked.Store(b.mark)
 	switch {
 	case b.roll.Epoch > 0:
 		b.place()
+		if read.old != (codebook.Mark{}) {
+			b.p.o.Log("disk", fmt.Sprintf("older than what was told from it: %+v", read.old))
+			b.incs[b.me] = 0
+			b.write([]hold.Put{b.putIncs()}, func(error) {}) // else it is found out again
+		}
 		if b.me >= 0 && b.incs[b.me] == 0 { // it died amid a repair
 			b.set(Repairing)
 		} else if b.me >= 0 {
@@ -378,6 +394,8 @@
 			return signal.Decode(v, &b.acc.Accepted)
 		case "chosen":
 			return signal.Decode(v, &b.acc.Chosen)
+		case "mark":
+			return signal.Decode(v, &b.mark)
 		case "seal":
 			return signal.Decode(v, &b.seal)
 		case "former":
@@ -426,7 +444,16 @@
 		done(hold.ErrDisk)
 		return
 	}
+	mark := uint64(0)
+	if now := b.now(); b.me >= 0 && now-b.markAt >= markEvery {
+		b.mark, b.markAt = b.mark+1, now
+		mark = b.mark
+		puts = append(slices.Clip(puts), hold.Put{Table: tableMeta, Key: []byte("mark"), Value: signal.Encode(mark)})
+	}
 	b.disk.Write(puts, func(err error) {
+		if err == nil && mark > 0 {
+			b.p.marked.Store(mark)
+		}
 		if err == nil {
 			b.p.ailing.Store(0)
 		} else if errors.Is(err, hold.ErrDisk) {
@@ -436,6 +463,40 @@
 	})
 }
 
+// markEvery is how often the mark goes to disk, beside a write that goes there anyway.
+const markEvery = 250 * time.Millisecond
+
+// knownTime is how long a purser that begins waits for what others know of its disk: a machine that is dark does not answer.
+const knownTime = 60 * time.Millisecond
+
+// compare asks whether this disk is an older copy of one that this member spoke from: it would know nothing of what it told
+// since. It waits, and is not for the owner's goroutine.
+func (b *books) compare() {
+	b.place()
+	if b.me < 0 || b.incs[b.me] == 0 {
+		return
+	}
+	mine := codebook.Mark{Epoch: b.roll.Epoch, Inc: b.incs[b.me], N: b.mark}
+	for _, m := range b.p.known(b.roll) {
+		if mine.Behind(m) && b.old.Behind(m) {
+			b.old = m
+		}
+	}
+}
+
+// askKnown asks the harbourmasters beside all members.
+func (p *Purser) askKnown(roll codebook.Roll) []codebook.Mark {
+	if p.o.First == 0 {
+		return nil
+	}
+	var addrs []string
+	for _, v := range roll.Voters {
+		addrs = append(addrs, codebook.Beside(v.Addr, p.o.First, codebook.HarbourPort))
+	}
+	out, _ := ask[codebook.Mark](p, addrs, codebook.Known, codebook.KnownCall{Addr: p.o.Addr}, knownTime)
+	return out
+}
+
 // ailsFor is how long each write may fail before the disk is closed and opened again: damage that is found while the disk is in
 // use is known as such, and put aside, only then.
 const ailsFor = 10 * time.Second
@@ -657,7 +718,8 @@
 
 func (b *books) watched(have manifest.Ballot) codebook.Watched {
 	return codebook.Watched{Vouch: b.vouch(), Promised: b.acc.Promised, Accepted: b.acc.Accepted, Chosen: b.acc.Chosen,
-		Items: ballot.Since(b.acc.Stands, have), Roll: b.roll, State: string(b.state), Keys: b.ledger.Len(), Shut: b.seal.Shut()}
+		Items: ballot.Since(b.acc.Stands, have), Roll: b.roll, State: string(b.state), Keys: b.ledger.Len(), Shut: b.seal.Shut(),
+		Mark: b.p.marked.Load()}
 }
 
 // watch answers at once where there is news, and else when there is some or the time is up. A member that may not speak as
--- a/internal/purser/purser_test.go
+++ b/internal/purser/purser_test.go
@@ -88,6 +88,7 @@
 	paper *paper
 	as    hold.Start // it is found
 	later []func(*books)
+	told  []codebook.Mark // what harbourmasters know
 }
 
 var voters = []codebook.Voter{{Addr: "a:1"}, {Addr: "b:1"}, {Addr: "c:1"}}
@@ -99,6 +100,7 @@
 	p := &Purser{o: o, later: func(f func(*books)) { d.later = append(d.later, f) }}
 	p.begin = func(hold.Options) (disk, hold.Start, error) { return d.paper, d.as, nil }
 	p.aside = func(f func() func(*books)) { f()(d.books) }
+	p.known = func(codebook.Roll) []codebook.Mark { return d.told }
 	p.own = signal.Own(&books{}, 64) // hears of what a repair found, which no test here waits for
 	t.Cleanup(p.own.End)
 	d.books = &books{p: p, begun: time.Now(), state: NoDisk, me: -1}
@@ -617,3 +619,58 @@
 		t.Errorf("%s behind a damaged disk", d.state)
 	}
 }
+
+// A disk that is behind what was told from it is an older copy: whoever finds it says nothing as a member until it is made up for.
+func TestOlderCopyOfADisk(t *testing.T) {
+	d := founded(t)
+	claim := func(n uint64) *answered {
+		d.begun = d.begun.Add(-markEvery)
+		a := d.call(codebook.Claim, codebook.ClaimCall{Key: fmt.Sprint("k", n), ID: id(n), Epoch: 1})
+		d.settle()
+		return a
+	}
+	copied := newPaper()
+	for n := range uint64(3) {
+		if claim(n + 1); n == 0 {
+			for t, rows := range d.paper.rows {
+				copied.rows[t] = maps.Clone(rows)
+			}
+		}
+	}
+	told := codebook.Mark{Epoch: 1, Inc: 1, N: d.watched(manifest.Ballot{}).Mark}
+	if told.N != 3 {
+		t.Fatalf("mark %d after three writes that are some time apart", told.N)
+	}
+	for _, c := range []struct {
+		name string
+		disk *paper
+		told []codebook.Mark
+		want State
+	}{
+		{"its own disk", d.paper, []codebook.Mark{{}, told}, Serving},
+		{"a copy, and nobody who knows better", copied, []codebook.Mark{{}}, Serving},
+		{"a copy", copied, []codebook.Mark{{}, told}, Repairing},
+		{"a disk of before a repair", d.paper, []codebook.Mark{{Epoch: 1, Inc: 2}}, Repairing},
+		{"a disk of before a change of the roll", d.paper, []codebook.Mark{{Epoch: 2, Inc: 1}}, Repairing},
+	} {
+		n := newDesk(t, Options{Bootstrap: true, Found: voters})
+		n.paper, n.told = newPaper(), c.told
+		for t, rows := range c.disk.rows {
+			n.paper.rows[t] = maps.Clone(rows)
+		}
+		n.open()
+		n.settle()
+		a := n.call(codebook.Claim, codebook.ClaimCall{Key: "k9", ID: id(9), Epoch: 1})
+		n.settle()
+		if n.state != c.want || (a.err == nil) != (c.want == Serving) {
+			t.Errorf("%s: %s, a claim: %v", c.name, n.state, a.err)
+		}
+		if n.state == Repairing {
+			again := newDesk(t, Options{}) // nobody who knows is left, amid the repair
+			again.paper = n.paper
+			if again.open(); again.state != Repairing {
+				t.Errorf("%s, begun again amid its repair: %s", c.name, again.state)
+			}
+		}
+	}
+}
--- a/internal/purser/repair.go
+++ b/internal/purser/repair.go
@@ -145,7 +145,7 @@
 }
 
 // ask makes one call to each address, and gives the answers that came.
-func ask[T any](p *Purser, addrs []string, kind uint8, call any) (out []T, from []string) {
+func ask[T any](p *Purser, addrs []string, kind uint8, call any, wait time.Duration) (out []T, from []string) {
 	type told struct {
 		v    T
 		addr string
@@ -157,7 +157,7 @@
 			c := signal.NewClient(p.o.Net, a)
 			defer c.Close()
 			t := told{addr: a}
-			t.err = c.Call(kind, call, &t.v, musterTime)
+			t.err = c.Call(kind, call, &t.v, wait)
 			ch <- t
 		}()
 	}
@@ -171,7 +171,7 @@
 
 // enrol learns from others who counts.
 func (p *Purser) enrol(addrs []string) func(*books) {
-	told, _ := ask[codebook.Mustered](p, addrs, codebook.Muster, codebook.MusterCall{Addr: p.o.Addr})
+	told, _ := ask[codebook.Mustered](p, addrs, codebook.Muster, codebook.MusterCall{Addr: p.o.Addr}, musterTime)
 	var roll codebook.Roll
 	for _, t := range told {
 		if t.Roll.Epoch > roll.Epoch {
@@ -206,7 +206,7 @@
 func (p *Purser) recover(addrs []string, roll codebook.Roll, me int, d disk) func(*books) {
 	n := len(roll.Voters)
 	need := n - ballot.Majority(n) + 1 // with fewer others heard, a majority that held this member may have none among them
-	known, _ := ask[codebook.Mustered](p, addrs, codebook.Muster, codebook.MusterCall{Addr: p.o.Addr})
+	known, _ := ask[codebook.Mustered](p, addrs, codebook.Muster, codebook.MusterCall{Addr: p.o.Addr}, musterTime)
 	for _, k := range known {
 		if k.Roll.Epoch > roll.Epoch {
 			return func(b *books) {
@@ -226,7 +226,7 @@
 	}
 	inc++
 	var got []mustered
-	first, from := ask[codebook.Mustered](p, addrs, codebook.Muster, codebook.MusterCall{Addr: p.o.Addr, Inc: inc})
+	first, from := ask[codebook.Mustered](p, addrs, codebook.Muster, codebook.MusterCall{Addr: p.o.Addr, Inc: inc}, musterTime)
 	for i, m := range first {
 		one := mustered{m: m, claims: m.Claims}
 		for m.More {
