Rig: a watch of a program's lines begins once the one before has ended

A watch that had timed out could take a line that was said to the next one, and the next waited for ever.

--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -157,15 +157,28 @@
 		t.Fatal(err)
 	}
 	d.Addr = l.Addr().String()
+	// A watch begins once the one before has ended, which might else take a line that is said to this one.
+	var mu sync.Mutex
+	over, ended := make(chan struct{}), make(chan struct{})
+	close(ended)
 	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Query().Get("follow") == "" {
 			io.WriteString(w, d.Whole())
 			return
 		}
+		mu.Lock()
+		close(over)
+		<-ended
+		mine, end := make(chan struct{}), make(chan struct{})
+		over, ended = mine, end
+		mu.Unlock()
+		defer close(end)
 		w.(http.Flusher).Flush()
 		d.Watch <- r.URL.RawQuery
 		for {
 			select {
+			case <-mine:
+				return
 			case line := <-d.Say:
 				io.WriteString(w, line+"\n")
 				w.(http.Flusher).Flush()
