HTTP: options of Connection one by one; a header name that is no token ends an answer

Cause: 'Connection: x, close' did not count as the last answer, and a name with a space behind it is a length to some readers and none to others, so it went on beside the proxy's own framing. Both are read strictly now; wire_test.go has the cases, seen to fail before.

--- a/internal/http1/answer.go
+++ b/internal/http1/answer.go
@@ -66,7 +66,17 @@
 	if err != nil {
 		return 0, nil, false, err
 	}
-	last = proto != "HTTP/1.1" || strings.EqualFold(header.Get("Connection"), "close")
+	for name := range header { // "Content-Length : 5" is a length to some readers and none to others
+		if !token(name) {
+			return 0, nil, false, fmt.Errorf("a header named %.40q", name)
+		}
+	}
+	last = proto != "HTTP/1.1"
+	for _, v := range header["Connection"] {
+		for option := range strings.SplitSeq(v, ",") {
+			last = last || strings.EqualFold(strings.TrimSpace(option), "close")
+		}
+	}
 	return status, header, last, nil
 }
 
--- a/internal/http1/wire_test.go
+++ b/internal/http1/wire_test.go
@@ -96,6 +96,16 @@
 			t.Errorf("%q: %q, %v", raw, got, err)
 		}
 	}
+	for head, want := range map[string]bool{"Connection: x, Close\r\n": true, "Connection: x\r\nConnection: close\r\n": true, "Connection: closed\r\n": false} {
+		if _, _, last, err := ReadAnswer(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n" + head + "\r\n"))); err != nil || last != want {
+			t.Errorf("%q: last %v, %v", head, last, err)
+		}
+	}
+	for _, name := range []string{"Content-Length ", "Content Length", "A,B"} {
+		if _, h, _, err := ReadAnswer(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n" + name + ": 5\r\n\r\n"))); err == nil {
+			t.Errorf("a header named %q is taken: %v", name, h)
+		}
+	}
 	if _, err := AnswerLength(200, textproto.MIMEHeader{"Content-Length": {"6"}}, 5); err == nil {
 		t.Error("a length over the most is taken")
 	}
