Tally: walks with two disks lost, an incarnation on disk first, a lame repair

The walk of claims loses two disks, and finds two more wrong programs: the incarnation on disk before what was taken, and a repair that counts one that repairs itself. The largest space needs -tally.all.

--- a/internal/tally/explore_test.go
+++ b/internal/tally/explore_test.go
@@ -1,6 +1,7 @@
 package tally
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -69,10 +70,12 @@
 
 // rules are what a mutant breaks.
 type rules struct {
-	early, unsound, deaf, freeAny, first, amnesiac, earlyInc bool
-	memory, disks                                            uint8
-	ids                                                      uint8                    // 0: two
-	won                                                      map[[members]uint32]bool // what wins said
+	early, unsound, deaf, freeAny, first, amnesiac, earlyInc, halves, lame bool
+	memory, disks                                                          uint8
+	keeps                                                                  bool                     // nobody gives back
+	long                                                                   bool                     // walked with -tally.all
+	ids                                                                    uint8                    // 0: two
+	won                                                                    map[[members]uint32]bool // what wins said
 }
 
 func pack(incs [members]uint8) uint8 { return incs[0]<<4 | incs[1]<<2 | incs[2] } // below 64: incarnations up to 3
@@ -222,7 +225,7 @@
 		}
 		fallthrough
 	case won:
-		if id > 0 { // the two are alike: one never does
+		if id > 0 && !r.keeps { // the two are alike: one never does
 			n := s
 			n.ids[id] = void
 			to(n, "%d gives back", id)
@@ -348,7 +351,7 @@
 	if m.inc == 0 { // asks under which incarnation it is known
 		heard := 0
 		for j := range members {
-			if j != i && s.m[j].mode == serving {
+			if j != i && (s.m[j].mode == serving || r.lame) {
 				heard++
 				m.inc = max(m.inc, s.m[j].incs[i])
 			}
@@ -366,7 +369,7 @@
 		if j == i {
 			continue
 		}
-		if x := s.m[j]; x.mode == serving && x.incs[i] <= m.inc && !s.tells[i][j].heard {
+		if x := s.m[j]; (x.mode == serving || r.lame) && x.incs[i] <= m.inc && !s.tells[i][j].heard {
 			x.incs[i] = m.inc
 			n := s
 			if r.earlyInc {
@@ -412,6 +415,9 @@
 		x.held = holder(l)
 		if x.push(write{kind: putRepaired, incs: incs}) {
 			n := s
+			if r.halves { // the incarnation comes to disk before what was taken
+				x.diskIncs = incs
+			}
 			n.m[i] = x
 			to(n, "member %d takes what it heard: %d", i, x.held)
 		}
@@ -439,6 +445,8 @@
 	return s
 }
 
+var all = flag.Bool("tally.all", false, "walk the large space too")
+
 func TestWholeSpaceOfClaims(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -446,6 +454,9 @@
 		ok   bool
 	}{
 		{"a disk lost", rules{disks: 1}, true},
+		{"two disks lost, nobody gives back", rules{disks: 2, keeps: true}, true},
+		{"two disks lost", rules{disks: 2, long: true}, true},
+		{"memory and two disks lost, nobody gives back", rules{memory: 1, disks: 2, keeps: true}, true},
 		{"memory and a disk lost", rules{memory: 1, disks: 1}, true},
 		{"memory lost twice", rules{memory: 2}, true},
 		{"told before it is on disk", rules{memory: 1, early: true}, false},
@@ -455,13 +466,15 @@
 		{"of two told for one key the first stays", rules{disks: 1, first: true}, false},
 		{"a lost disk that is not noticed", rules{disks: 1, amnesiac: true}, false},
 		{"an incarnation told of before it is on disk", rules{memory: 1, disks: 1, earlyInc: true}, false},
+		{"an incarnation on disk before what was taken", rules{memory: 1, disks: 1, halves: true}, false},
+		{"a repair that heard one that repairs itself", rules{disks: 2, lame: true}, false},
 	} {
-		if explore.Slow && (c.r.disks > 0 || c.r.ids > 0) {
+		if c.r.long && !*all || explore.Slow && (c.r.disks > 0 || c.r.ids > 0) {
 			continue
 		}
 		begun := time.Now()
 		c.r.won = map[[members]uint32]bool{}
-		n, err := explore.Whole(begin(), c.r.next, broken, 3e6)
+		n, err := explore.Whole(begin(), c.r.next, broken, 6e6)
 		if wrong := explore.Verdict(c.ok, n, err); wrong != nil {
 			t.Errorf("%s: %v", c.name, wrong)
 		}
