--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -54,6 +54,7 @@
 // its own Close would leave it in the pool's count.
 type Conn struct {
 	net.Conn
+	Last   string // of its users, to know the last request on it by; the pool does not look at it
 	group  *group
 	since  time.Time     // idle from then on
 	rest   time.Duration // that it may be idle for
--- a/internal/plight/plight.go
+++ b/internal/plight/plight.go
@@ -44,7 +44,8 @@
 	Malformed   Kind = 27 // a message between programs that can't be read
 	Gone        Kind = 28 // nothing is known of it any more
 	Spent       Kind = 29 // no further try is allowed by the budget
-	kinds       Kind = 30
+	Unsure      Kind = 30 // whether this version was taken, and with which content, can't be told
+	kinds       Kind = 31
 )
 
 // Answer is what a client or operator gets for a kind.
@@ -85,6 +86,7 @@
 	DiskOut:     {http.StatusServiceUnavailable, false, true, "disk takes no writes"},
 	Malformed:   {http.StatusBadRequest, false, false, "message can't be read"},
 	Gone:        {http.StatusNotFound, false, false, "nothing known of it"},
+	Unsure:      {http.StatusServiceUnavailable, false, true, "whether it was taken can't be told"},
 	Spent:       {http.StatusServiceUnavailable, true, true, "no further try allowed"},
 }
 
