Signal: a call's number is taken until its answer has come or its connection has ended

An answer to no call, or of another kind, ends the connection. Weighed: numbers of 64 bits (another frame, for the same).

--- /dev/null
+++ b/internal/signal/meter_test.go
@@ -0,0 +1,32 @@
+package signal
+
+import (
+	"testing"
+	"time"
+)
+
+// Frames are counted by kind on both sides of a link.
+func TestFramesAreCounted(t *testing.T) {
+	l, err := Listen(nil, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const kind = 29 // nothing else in this process sends it
+	s := Serve(l, func(c Call) { c.Reply("answer", nil) })
+	defer s.Close()
+	c := NewClient(nil, l.Addr().String())
+	defer c.Close()
+	var text string
+	if err := c.Call(kind, "call", &text, 10*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	for _, k := range Totals() {
+		if k.Kind == kind { // 10 bytes of head, and a text with one byte of its own head
+			if k != (Traffic{Kind: kind, Out: 2, OutBytes: 32, In: 2, InBytes: 32}) {
+				t.Errorf("counted %+v", k)
+			}
+			return
+		}
+	}
+	t.Error("nothing was counted")
+}
--- a/internal/signal/signal.go
+++ b/internal/signal/signal.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -92,6 +93,7 @@
 	l.out = binary.BigEndian.AppendUint32(l.out, id)
 	l.out = append(l.out, kind, byte(p))
 	l.out = append(l.out, body...)
+	sent(kind, headBytes+len(body))
 	select {
 	case l.wake <- struct{}{}:
 	default:
@@ -157,6 +159,7 @@
 		}
 		left -= len(f.body) - was
 	}
+	taken(f.kind, headBytes+len(f.body))
 	return f, nil
 }
 
@@ -185,10 +188,15 @@
 	return Call{Kind: kind, Body: Encode(v), to: to}
 }
 
+// Encoded is a message that is encoded already, as for more callers than one. It is not changed any more.
+type Encoded []byte
+
 // Reply answers a call, from any goroutine, once. A caller that has gone is told nothing.
 func (c Call) Reply(v any, err error) {
 	var body []byte
-	if err == nil && v != nil {
+	if raw, ok := v.(Encoded); err == nil && ok {
+		body = raw
+	} else if err == nil && v != nil {
 		body = Encode(v)
 	}
 	if c.to != nil {
@@ -277,7 +285,8 @@
 	mu      sync.Mutex
 	l       *link
 	dialing bool
-	waiting map[uint32]*pending // under way, or queued for the dial
+	waiting map[uint32]*pending // under way, or queued for the dial; and forgotten, whose answers may come yet
+	left    int                 // of these forgotten
 	queued  []queued
 	next    uint32
 	pause   time.Duration
@@ -287,7 +296,8 @@
 }
 
 type pending struct {
-	done func(body []byte, err error)
+	kind uint8
+	done func(body []byte, err error) // nil: it is forgotten
 	sent time.Time
 }
 
@@ -309,16 +319,17 @@
 // goroutine, unless the call is forgotten before; it must not wait.
 func (c *Client) Go(kind uint8, body []byte, done func(body []byte, err error)) uint32 {
 	c.mu.Lock()
-	c.next++
-	id := c.next
 	now := time.Now()
 	switch {
-	case c.closed, len(c.waiting) >= maxCalls, c.l == nil && !c.dialing && now.Before(c.till):
+	case c.closed, len(c.waiting)-c.left >= maxCalls, c.l == nil && !c.dialing && now.Before(c.till):
 		c.mu.Unlock()
 		go done(nil, plight.New(plight.Away, "%s", c.addr))
 		return 0
 	}
-	c.waiting[id] = &pending{done, now}
+	for c.next++; c.next == 0 || c.waiting[c.next] != nil; c.next++ { // numbers come round: none whose answer may still come
+	}
+	id := c.next
+	c.waiting[id] = &pending{kind, done, now}
 	if c.l != nil {
 		l := c.l
 		c.mu.Unlock()
@@ -334,17 +345,22 @@
 	return id
 }
 
-// Forget ends the wait for a call. If the peer has said nothing since long before, the connection is given up: one behind
+// Forget ends the wait for a call; its number is not given again while its answer may come. If the peer has said nothing since long before, the connection is given up: one behind
 // a cut comes back late or not at all, a new one tells at once.
 func (c *Client) Forget(id uint32) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.waiting[id]
-	if p == nil {
+	if p == nil || p.done == nil {
 		return
 	}
-	delete(c.waiting, id)
-	if c.l != nil && c.heard.Before(p.sent) && time.Since(p.sent) > silence/2 {
+	if c.l == nil { // it never left
+		delete(c.waiting, id)
+		c.queued = slices.DeleteFunc(c.queued, func(q queued) bool { return q.id == id })
+		return
+	}
+	p.done = nil
+	if c.left++; c.left > maxCalls || c.heard.Before(p.sent) && time.Since(p.sent) > silence/2 {
 		go c.l.end()
 	}
 }
@@ -416,15 +432,23 @@
 		c.mu.Lock()
 		c.heard = time.Now()
 		p := c.waiting[f.id]
+		if p == nil || p.kind != f.kind { // an answer to no call: what follows can't be trusted either
+			c.mu.Unlock()
+			break
+		}
 		delete(c.waiting, f.id)
+		done := p.done
+		if done == nil {
+			c.left--
+		}
 		c.mu.Unlock()
-		if p == nil {
+		if done == nil {
 			continue
 		}
 		if f.err != plight.OK {
-			p.done(nil, &plight.Error{Kind: f.err})
+			done(nil, &plight.Error{Kind: f.err})
 		} else {
-			p.done(f.body, nil)
+			done(f.body, nil)
 		}
 	}
 	l.end()
@@ -436,9 +460,11 @@
 // failAll fails all that waits. The caller holds c.mu, which it gives back.
 func (c *Client) failAll(err error) {
 	all := c.waiting
-	c.waiting, c.queued = map[uint32]*pending{}, nil
+	c.waiting, c.left, c.queued = map[uint32]*pending{}, 0, nil
 	c.mu.Unlock()
 	for _, p := range all {
-		p.done(nil, err)
+		if p.done != nil {
+			p.done(nil, err)
+		}
 	}
 }
