--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -227,6 +227,11 @@
 	}
 }
 
+var commits atomic.Int64
+
+// Commits is how many transactions this process has committed, each with its sync.
+func Commits() int64 { return commits.Load() }
+
 // Stalled is how long the work under way has taken so far: a commit and its answers, moving the log, a Load; 0: there is
 // none.
 func (h *Hold) Stalled() time.Duration {
@@ -430,6 +435,7 @@
 		h.mend()
 		return -1, wrap(err)
 	}
+	commits.Add(1)
 	h.moved = false
 	frames, _, err := h.db.checkpoint(false)
 	if h.counted = err == nil; h.counted {
--- a/internal/hold/open.go
+++ b/internal/hold/open.go
@@ -30,7 +30,7 @@
 	var damage *damageError
 	if errors.As(err, &damage) {
 		o.Log(fmt.Sprintf("%s is damaged and put aside: %v", path, err))
-		if err := quarantine(path); err != nil {
+		if err := quarantine(path, diskNames); err != nil {
 			return nil, Damaged, wrap(fmt.Errorf("put aside what is damaged: %w", err))
 		}
 		start = Damaged
@@ -170,17 +170,30 @@
 	return Whole, nil
 }
 
-// quarantine puts the files aside, in the place of those of the time before. The database goes first: a log without one
-// is known as damage, while a database without its log would be taken for whole.
-func quarantine(path string) error {
+// names changes the names of files in a folder. A change lasts for certain once the folder is synced; before that each may
+// be kept or lost by itself at a loss of power.
+type names struct {
+	rename func(from, to string) error
+	remove func(path string) error
+	sync   func(dir string) error
+}
+
+var diskNames = names{os.Rename, os.Remove, syncDir}
+
+// quarantine puts the files aside, in the place of those of the time before. The database goes first, and for certain: a log
+// without one is known as damage, while a database without its log would be taken for whole.
+func quarantine(path string, n names) error {
 	for _, s := range suffixes {
-		if err := os.Rename(path+s, path+aside+s); err != nil && !errors.Is(err, fs.ErrNotExist) {
-			if err := os.Remove(path + s); err != nil {
+		if err := n.rename(path+s, path+aside+s); err != nil && !errors.Is(err, fs.ErrNotExist) {
+			if err := n.remove(path + s); err != nil {
 				return err
 			}
 		}
+		if err := n.sync(filepath.Dir(path)); err != nil {
+			return err
+		}
 	}
-	return syncDir(filepath.Dir(path))
+	return nil
 }
 
 // makeDir makes the folder, and its name certain.
