Council: a majority that is not had says why, and no wait below zero is told

An error text said 'within -81ms', and 'no majority' hid the reason. The last failed member's address and error stand in it now; a call without time left ends at once.

--- a/internal/articles/articles.go
+++ b/internal/articles/articles.go
@@ -51,7 +51,7 @@
 	Bootstrap    bool // the very first start of the whole system
 	QuorumMember bool // counts among the machines whose loss is bounded
 
-	VoterLost time.Duration // after which a voter that nobody heard is replaced; the file can't tell it; 0: harbour.VoterLost
+	VoterLost time.Duration // after which a voter that answers nobody is replaced; the file can't tell it; 0: half of Bounds.Catchup
 
 	CPUFraction   float64 // of a core; 0: not told, as for all limits
 	CPUCores      float64 // how fast that core is
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -3,6 +3,7 @@
 package council
 
 import (
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -144,8 +145,12 @@
 	if len(clients) == 0 {
 		return plight.New(plight.CoreOut, "nobody known that counts")
 	}
+	if wait <= 0 {
+		return plight.New(plight.CoreOut, "no time is left")
+	}
 	ch := make(chan Told, len(clients))
 	ids := map[int]uint32{}
+	why := "" // of the last that failed
 	for i, cl := range clients {
 		if body := message(i); body != nil {
 			ids[i] = cl.Go(kind, body, func(b []byte, err error) { ch <- Told{i, b, err} })
@@ -157,6 +162,9 @@
 		select {
 		case told := <-ch:
 			delete(ids, told.Place)
+			if told.Err != nil {
+				why = fmt.Sprintf(": %s: %v", clients[told.Place].Addr(), told.Err)
+			}
 			if each(told) {
 				return nil // the others' answers are dropped as they come; a peer that says nothing is noticed by its own link
 			}
@@ -164,8 +172,8 @@
 			for i, id := range ids {
 				clients[i].Forget(id)
 			}
-			return plight.New(plight.CoreOut, "no majority within %v", wait)
+			return plight.New(plight.CoreOut, "no majority within %v%s", wait.Round(time.Millisecond), why)
 		}
 	}
-	return plight.New(plight.CoreOut, "no majority")
+	return plight.New(plight.CoreOut, "no majority%s", why)
 }
