--- a/internal/drydock/sea/conn.go
+++ b/internal/drydock/sea/conn.go
@@ -44,6 +44,7 @@
 	heard         time.Time
 	counting      bool // the silence of what was sent
 	probing       bool // the silence of a connection that rests
+	deaf          bool // it sent what nobody can acknowledge
 }
 
 func (c *Conn) trip() time.Duration { return c.sea().latency(c.p.m, c.peerM) }
@@ -58,7 +59,7 @@
 
 // arrival is when n bytes sent now to this end arrive: in order, and not while its path is cut.
 func (c *Conn) arrival(n int) time.Time {
-	if !c.sea().open(c.p.m, c.peerM) {
+	if !c.sea().passes(c.peerM, c.p.m) {
 		return never
 	}
 	s := c.sea()
@@ -185,6 +186,7 @@
 func (c *Conn) Write(b []byte) (int, error) {
 	s := c.sea()
 	done := 0
+	var full time.Time // since when the other side has taken nothing
 	for {
 		s.mu.Lock()
 		now := time.Now()
@@ -215,16 +217,21 @@
 					c.wake()
 					c.suspect()
 				}
-				s.mu.Unlock()
-				return len(b), nil
-			}
-			if room := window - p.in.size; room > 0 {
+				if p.in.size < window { // else it waits for room, and hears of the reset
+					s.mu.Unlock()
+					return len(b), nil
+				}
+			} else if room := window - p.in.size; room > 0 {
 				k := min(room, len(b)-done)
 				at := p.arrival(k)
 				p.in.segs = append(p.in.segs, seg{at, append([]byte(nil), b[done:done+k]...)})
 				p.in.size += k
 				done += k
-				if at.Equal(never) {
+				full = now
+				if !s.passes(c.peerM, c.p.m) { // nobody acknowledges what it sends
+					c.deaf = true
+				}
+				if at.Equal(never) || c.deaf {
 					c.suspect()
 				}
 				p.wake()
@@ -234,13 +241,32 @@
 				}
 			}
 		}
+		var given time.Time // up, where its quiet bounds that: a window that stays shut counts as silence
+		if c.quiet > 0 {
+			if full.IsZero() {
+				full = now
+			}
+			if p.in.last.After(full) { // until then bytes arrive, and are acknowledged
+				full = p.in.last
+			}
+			if given = full.Add(c.quiet); !given.After(now) {
+				c.broken = syscall.ETIMEDOUT
+				if !p.in.rst && !p.gone {
+					p.lose()
+					p.in.rst, p.in.rstAt = true, p.arrival(0)
+					p.wake()
+				}
+				s.mu.Unlock()
+				return done, c.err("write", c.broken)
+			}
+		}
 		var rst time.Time
 		if c.in.rst {
 			rst = c.in.rstAt
 		}
 		note, wd := c.note, c.wd
 		s.mu.Unlock()
-		wait(note, wd, rst)
+		wait(note, wd, rst, given)
 	}
 }
 
@@ -264,8 +290,11 @@
 // probes is how long a connection that rests is silent before it ends.
 const probes = 3 * time.Second
 
-// held reports whether what this end sent is held by a cut.
+// held reports whether what this end sent is held by a cut, or its acknowledgement is.
 func (c *Conn) held() bool {
+	if c.deaf {
+		return true
+	}
 	for _, x := range c.peer.in.segs {
 		if x.at.Equal(never) {
 			return true
--- a/internal/drydock/sea/packet.go
+++ b/internal/drydock/sea/packet.go
@@ -121,7 +121,7 @@
 		return 0, x.err("write", syscall.EINVAL)
 	}
 	m := s.machines[u.IP.String()]
-	if m == nil || !s.open(x.p.m, m) {
+	if m == nil || !s.passes(x.p.m, m) {
 		return len(b), nil
 	}
 	y := m.packets[u.Port]
--- a/internal/drydock/sea/sea.go
+++ b/internal/drydock/sea/sea.go
@@ -25,6 +25,7 @@
 	machines map[string]*Machine // by IP
 	lat      map[[2]string]time.Duration
 	cuts     map[[2]string]int
+	ways     map[[2]string]int        // cuts of one way, by IPs from and to
 	slow     map[string]time.Duration // by IP, one way
 	loss     map[string]float64       // by IP, part of the packets
 	width    map[string]float64       // by IP, bytes a second each way; 0: any number
@@ -38,7 +39,7 @@
 // New returns an empty network whose latencies are drawn by a seed.
 func New(seed uint64) *Sea {
 	return &Sea{rand: rand.New(rand.NewPCG(seed, 77)), machines: map[string]*Machine{}, lat: map[[2]string]time.Duration{},
-		cuts: map[[2]string]int{}, slow: map[string]time.Duration{}, loss: map[string]float64{}, width: map[string]float64{},
+		cuts: map[[2]string]int{}, ways: map[[2]string]int{}, slow: map[string]time.Duration{}, loss: map[string]float64{}, width: map[string]float64{},
 		up: map[string]time.Time{}, down: map[string]time.Time{}, luck: rand.New(rand.NewPCG(seed, 78)), conns: map[*Conn]bool{}, change: make(chan struct{}), nextPort: 32768}
 }
 
@@ -113,6 +114,25 @@
 	s.slow[m.IP] = d
 }
 
+// Reset resets those connections from and to a machine that `which` picks, at both ends.
+func (s *Sea) Reset(m *Machine, which func() bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for c := range s.conns {
+		if c.p.m != m || !which() {
+			continue
+		}
+		for _, x := range []*Conn{c, c.peer} {
+			if !x.closed && !x.gone && !x.in.rst {
+				x.lose()
+				x.in.rst, x.in.rstAt = true, now
+				x.wake()
+			}
+		}
+	}
+}
+
 // Lossy has a part of the packets from and to a machine be lost; 0: none.
 func (s *Sea) Lossy(m *Machine, part float64) {
 	s.mu.Lock()
@@ -179,9 +199,12 @@
 	return d
 }
 
-// open reports whether bytes pass between two machines. The caller holds s.mu.
-func (s *Sea) open(a, b *Machine) bool {
-	return !a.off && !b.off && (a == b || s.cuts[pair(a.IP, b.IP)] == 0)
+// open reports whether bytes pass between two machines, both ways. The caller holds s.mu.
+func (s *Sea) open(a, b *Machine) bool { return s.passes(a, b) && s.passes(b, a) }
+
+// passes reports whether bytes pass from one machine to another. The caller holds s.mu.
+func (s *Sea) passes(from, to *Machine) bool {
+	return !from.off && !to.off && (from == to || s.cuts[pair(from.IP, to.IP)] == 0 && s.ways[[2]string{from.IP, to.IP}] == 0)
 }
 
 // changed wakes those who wait for a path. The caller holds s.mu.
@@ -206,6 +229,22 @@
 	s.release()
 }
 
+// CutWay cuts the path from one machine to another, one way: what comes back passes, acknowledgements too.
+func (s *Sea) CutWay(from, to *Machine) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ways[[2]string{from.IP, to.IP}]++
+	s.hold()
+}
+
+// JoinWay takes one CutWay away.
+func (s *Sea) JoinWay(from, to *Machine) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ways[[2]string{from.IP, to.IP}]--
+	s.release()
+}
+
 // CutOff cuts a machine off from all others.
 func (s *Sea) CutOff(m *Machine) { s.each(m, s.Cut) }
 
@@ -230,7 +269,7 @@
 func (s *Sea) hold() {
 	now := time.Now()
 	for c := range s.conns {
-		if s.open(c.p.m, c.peerM) {
+		if s.passes(c.peerM, c.p.m) {
 			continue
 		}
 		in := &c.in
@@ -254,9 +293,10 @@
 func (s *Sea) release() {
 	now := time.Now()
 	for c := range s.conns {
-		if !s.open(c.p.m, c.peerM) {
+		if !s.passes(c.peerM, c.p.m) {
 			continue
 		}
+		c.deaf = false
 		at := now.Add(resend)
 		in := &c.in
 		if c.peer.gone {
--- a/internal/drydock/sea/sea_test.go
+++ b/internal/drydock/sea/sea_test.go
@@ -105,6 +105,31 @@
 				t.Error(n, err)
 			}
 		},
+		"a cut of one way passes the other, whose bytes nobody acknowledges": func(t *testing.T) {
+			e := connect(t, time.Second)
+			e.s.CutWay(e.b, e.a)
+			e.x.Write([]byte("hello"))
+			if got, err := read(e.y); got != "hello" || err != nil {
+				t.Error(got, err)
+			}
+			begun := time.Now()
+			if _, err := read(e.x); !errors.Is(err, syscall.ETIMEDOUT) || time.Since(begun) > 1100*time.Millisecond {
+				t.Error(err, time.Since(begun))
+			}
+			e.s.JoinWay(e.b, e.a)
+			e = connect(t, 0)
+			e.s.CutWay(e.b, e.a)
+			e.y.Write([]byte("hello"))
+			e.x.SetReadDeadline(time.Now().Add(10 * time.Second))
+			if _, err := read(e.x); !errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Error(err)
+			}
+			e.x.SetReadDeadline(time.Time{})
+			e.s.JoinWay(e.b, e.a)
+			if got, err := read(e.x); got != "hello" || err != nil {
+				t.Error(got, err)
+			}
+		},
 		"a cut holds bytes, which come when it is over": func(t *testing.T) {
 			e := connect(t, 0)
 			e.s.Cut(e.a, e.b)
@@ -128,6 +153,23 @@
 				t.Error(err, time.Since(begun))
 			}
 		},
+		"a quiet ends a connection whose window stays shut, and none on which it opens in time": func(t *testing.T) {
+			e := connect(t, time.Second)
+			begun := time.Now()
+			go func() {
+				for range 4 {
+					time.Sleep(700 * time.Millisecond)
+					read(e.y)
+				}
+			}()
+			n, err := e.x.Write(make([]byte, 100<<10))
+			if took := time.Since(begun); n < window || !errors.Is(err, syscall.ETIMEDOUT) || took.Round(10*time.Millisecond) != 3800*time.Millisecond {
+				t.Error(n, err, took)
+			}
+			if _, err := io.Copy(io.Discard, e.y); !errors.Is(err, syscall.ECONNRESET) {
+				t.Error(err)
+			}
+		},
 		"power takes a machine without a word, and its return resets": func(t *testing.T) {
 			e := connect(t, 0)
 			e.b.PowerOff()
