--- a/internal/ballot/ballot_test.go
+++ b/internal/ballot/ballot_test.go
@@ -64,7 +64,8 @@
 			r.Add(p)
 		}
 		base, of, chosen, ok := r.Base()
-		if of.N != c.base || chosen != c.chosen || ok != c.ok || base[key].Version != manifest.Version(c.base) {
+		got, _ := base.Get(key)
+		if of.N != c.base || chosen != c.chosen || ok != c.ok || got.Version != manifest.Version(c.base) {
 			t.Errorf("%s: %v of %v, chosen %v, ok %v", c.name, base, of, chosen, ok)
 		}
 	}
--- a/internal/ballot/explore_test.go
+++ b/internal/ballot/explore_test.go
@@ -1,6 +1,7 @@
 package ballot
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -58,10 +59,11 @@
 }
 
 type rules struct {
-	early, forgets, unsound, deaf, promiseless, amnesiac, anyBase bool
-	memory, disks                                                 uint8
-	more                                                          uint8 // rounds beyond two
-	bases                                                         map[[members]uint16]outcomes
+	early, forgets, unsound, deaf, promiseless, amnesiac, anyBase, halves bool
+	memory, disks                                                         uint8
+	more                                                                  uint8 // rounds beyond two
+	long                                                                  bool  // walked with -ballot.all
+	bases                                                                 map[[members]uint16]outcomes
 }
 
 // outcomes of a round's promises, whichever were heard: by base, that it may be that, and that it may be taken for chosen.
@@ -353,6 +355,9 @@
 	}
 	if (heard == members-1 || heard == 1 && k.deaf) && x.queue[0].kind == none {
 		x.push(write{putRepaired, 0, 0, s.repair})
+		if k.halves { // the incarnation comes to disk before what was taken
+			x.onInc = s.repair
+		}
 		n := s
 		n.m[0] = x
 		to(n, "member 0 takes what it heard: promised %d, accepted %d", x.promised, x.accepted)
@@ -375,6 +380,8 @@
 	return ""
 }
 
+var all = flag.Bool("ballot.all", false, "walk the large space too")
+
 func TestWholeSpaceOfRounds(t *testing.T) {
 	var first world
 	for i := range members {
@@ -390,15 +397,17 @@
 		{"three rounds and memory lost", rules{memory: 1, more: 1}, true},
 		{"a disk lost", rules{disks: 1}, true},
 		{"memory and a disk lost", rules{memory: 1, disks: 1}, true},
+		{"a disk lost twice", rules{disks: 2, long: true}, true},
 		{"told before it is on disk", rules{memory: 1, early: true}, false},
 		{"a promise forgotten at a restart", rules{memory: 1, forgets: true}, false},
 		{"answers from before and after a loss counted together", rules{disks: 1, unsound: true}, false},
 		{"a repair that heard one other", rules{disks: 1, deaf: true}, false},
 		{"a repair without promises", rules{disks: 1, promiseless: true}, false},
 		{"a lost disk that is not noticed", rules{disks: 1, amnesiac: true}, false},
+		{"an incarnation on disk before what was taken", rules{memory: 1, disks: 1, halves: true}, false},
 		{"a base that is not the highest", rules{anyBase: true, more: 1}, false},
 	} {
-		if explore.Slow && (c.k.disks > 0 || c.k.more > 0) {
+		if c.k.long && !*all || explore.Slow && (c.k.disks > 0 || c.k.more > 0) {
 			continue
 		}
 		begun := time.Now()
--- /dev/null
+++ b/internal/ballot/order.go
@@ -0,0 +1,161 @@
+package ballot
+
+import "saltmast/internal/manifest"
+
+// Order is one call of an operator as it came to an agent. It may have been sent before, to any agent, and that copy may still
+// be under way.
+type Order struct {
+	Items []manifest.Item
+	Since manifest.Version // the newest refusal that the agent knew of when the order came
+}
+
+// NewOrder is an order of a call's items that came to an agent which knows that stands was chosen.
+func NewOrder(items []manifest.Item, stands manifest.Set) Order {
+	last, _ := stands.Get(refusals)
+	return Order{Items: items, Since: last.Version}
+}
+
+// Verdict on an order.
+type Verdict uint8
+
+// The verdicts. Each may be told once what the Outcome proposes was chosen.
+const (
+	Acknowledged Verdict = iota
+	Conflicts            // a number of it was taken with another content
+	Invalid              // the whole would be, or could never have been, valid
+	Unclear              // whether it was taken can't be told, or a copy of it was refused after it came
+)
+
+// Outcome of an order against a base.
+type Outcome struct {
+	Next    manifest.Set
+	Changes []manifest.Item // of Next against the base, with the round's ballot
+	Verdict Verdict
+	At      manifest.Key // of a conflict, or what is too old to tell
+	Why     error        // of what is invalid
+	Late    bool         // some of the items come too late to count, and are remembered
+}
+
+// refusals is where the register remembers the calls that it refused last for the state that it is in. A copy of one may be
+// on its way at another agent: it came before that agent knew of the refusal, and is never taken. One that is sent anew is
+// judged anew.
+var refusals = manifest.Key{Kind: manifest.Refusals}
+
+// refused reports whether a copy of the order was refused after it came, or may have been.
+func (o Order) refused(base manifest.Set) bool {
+	last, _ := base.Get(refusals)
+	if last.Version <= o.Since { // as a rule: the digest is not needed then
+		return false
+	}
+	sum := manifest.Sum(o.Items)
+	for _, t := range last.Past {
+		if t.Sum == sum && t.Version > o.Since {
+			return true
+		}
+	}
+	n := len(last.Past)
+	return n == manifest.MaxPast && last.Past[n-1].Version > o.Since+1
+}
+
+// refuse is base with the refusal of the order.
+func (o Order) refuse(base manifest.Set, b manifest.Ballot, why error) Outcome {
+	last, _ := base.Get(refusals)
+	last.Key, last.Ballot, last.Dropped, last.Version = refusals, b, true, last.Version+1
+	last, _ = last.Remember(manifest.Taken{Version: last.Version, Sum: manifest.Sum(o.Items)})
+	return Outcome{Next: base.With(last), Changes: []manifest.Item{last}, Verdict: Invalid, Why: why}
+}
+
+// Lay lays the order over a base, under ballot b. valid says what is wrong with a whole that it would change. An order of
+// which every number was taken with its content changes nothing and is acknowledged, whatever became of it since.
+func (o Order) Lay(base manifest.Set, b manifest.Ballot, valid func(next manifest.Set) error) Outcome {
+	out := Apply(base, o.Items, b)
+	if out.Verdict != Acknowledged || len(out.Changes) == 0 {
+		return out
+	}
+	err := valid(out.Next)
+	if err == nil && out.Late {
+		err = base.Never(o.Items)
+	}
+	switch {
+	case err != nil: // also where it was refused before: by a round of this very copy that did not come through, as a rule
+		return o.refuse(base, b, err)
+	case o.refused(base):
+		return Outcome{Next: base, Verdict: Unclear, At: refusals}
+	}
+	return out
+}
+
+// Apply lays items over a base, under ballot b. Each number that is acknowledged is remembered with its content, also where
+// it comes too late to count: a number has one content for good.
+func Apply(base manifest.Set, items []manifest.Item, b manifest.Ballot) Outcome {
+	out := Outcome{Next: base}
+	refuse := func(v Verdict, k manifest.Key) Outcome { return Outcome{Next: base, Verdict: v, At: k} }
+	for _, i := range items {
+		cur, ok := base.Get(i.Key)
+		next, changed := cur, false
+		below := i.Past
+		switch {
+		case !ok:
+			next, changed, below = i, true, nil
+		case i.Version > cur.Version:
+			past, _ := cur.Remember(cur.Taken())
+			next, changed = i, true
+			next.Past = past.Past
+		case i.Version == cur.Version:
+			if !i.Same(cur) {
+				return refuse(Conflicts, i.Key)
+			}
+		default:
+			below = append([]manifest.Taken{i.Taken()}, below...)
+		}
+		for _, t := range below {
+			switch cur.Knows(t) {
+			case manifest.Against:
+				return refuse(Conflicts, i.Key)
+			case manifest.Overtime:
+				return refuse(Unclear, i.Key)
+			case manifest.Unheard:
+				if next, ok = next.Remember(t); !ok {
+					return refuse(Unclear, i.Key)
+				}
+				out.Late = out.Late || t.Version < cur.Version
+				changed = true
+			}
+		}
+		if changed {
+			next.Ballot = b
+			out.Changes = append(out.Changes, next)
+		}
+	}
+	out.Changes = fitting(out.Changes)
+	out.Next = base.With(out.Changes...)
+	return out
+}
+
+// fitting is items with as much of their past as a member keeps of one call beside its base.
+func fitting(items []manifest.Item) []manifest.Item {
+	all, bare := 0, 0
+	for _, i := range items {
+		all += Size(i)
+		i.Past = nil
+		bare += Size(i)
+	}
+	if all <= DeltaMax {
+		return items
+	}
+	most := max(0, (DeltaMax-bare)/(pastSize*len(items))-1)
+	for n := range items {
+		items[n] = items[n].Forget(most)
+	}
+	return items
+}
+
+// Fits reports whether the items of a call are not too many for a member to keep beside its base, whatever their past.
+func Fits(items []manifest.Item) bool {
+	size := 0
+	for _, i := range items {
+		i.Past = nil
+		size += Size(i) + pastSize
+	}
+	return size <= DeltaMax
+}
--- a/internal/berths/berths.go
+++ b/internal/berths/berths.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -53,8 +54,9 @@
 
 // Table holds the newest entry of each node, and since which change of its own.
 type Table struct {
-	rows map[string]*row
-	at   uint64 // changes so far
+	rows    map[string]*row
+	at      uint64 // changes so far
+	changes []*row // in their order; those of which a row was taken out of the table, or has changed since, are stale
 }
 
 type row struct {
@@ -76,10 +78,19 @@
 		return false
 	}
 	t.at++
-	t.rows[b.Node] = &row{Berth: b, at: t.at}
+	r = &row{Berth: b, at: t.at}
+	t.rows[b.Node] = r
+	if t.changes = append(t.changes, r); len(t.changes) > 2*len(t.rows)+staleChanges {
+		t.changes = slices.DeleteFunc(t.changes, t.stale)
+	}
 	return true
 }
 
+// staleChanges is how many stale ones are kept beside those of the rows, so that few changes are a reason to look at all.
+const staleChanges = 64
+
+func (t *Table) stale(r *row) bool { return t.rows[r.Node] != r }
+
 // Sweep drops the entries of nodes that were not alive at any sweep for as long as keep, and returns those nodes. now is
 // above 0. Of a dropped one the version and the life stay, which a proxy that starts anew there is told and raises its own over:
 // tables that dropped it and tables that did not yet would else order its news in different ways. Those are bounded as well.
@@ -133,19 +144,34 @@
 
 // Since are the entries that changed after change number at, in the order of nodes.
 func (t *Table) Since(at uint64) []Berth {
-	var out []Berth
-	if at >= t.at {
-		return nil
-	}
-	for _, r := range t.rows {
-		if r.at > at {
-			out = append(out, r.Berth)
-		}
-	}
+	out, _, _ := t.Part(at, math.MaxInt)
 	slices.SortFunc(out, func(a, b Berth) int { return strings.Compare(a.Node, b.Node) })
 	return out
 }
 
+// Part are the entries that changed after change number at, in the order of their changes, up to so many bytes of a message, one
+// at the least; with the number up to which all is told then, from which the next part goes on, and whether there is more. An entry
+// that changes amid parts goes behind all of them, so that whoever took them all has what the table held at the last, whatever
+// was told before. It costs what it tells and what is stale among that.
+func (t *Table) Part(at uint64, bytes int) (entries []Berth, upto uint64, more bool) {
+	from, _ := slices.BinarySearchFunc(t.changes, at, func(r *row, at uint64) int { return cmp.Or(cmp.Compare(r.at, at), -1) })
+	for _, r := range t.changes[from:] {
+		if t.stale(r) {
+			continue
+		}
+		if bytes -= r.Size(); bytes < 0 && len(entries) > 0 {
+			return entries, upto, true
+		}
+		entries, upto = append(entries, r.Berth), r.at
+	}
+	return entries, t.at, false
+}
+
+// Size is how many bytes an entry takes in a message, at the most.
+func (b Berth) Size() int {
+	return 64 + len(b.Node) + len(b.Addr) + len(b.Zone) + len(b.Instance) + len(b.Service) + len(b.Release)
+}
+
 // All are the entries that were not dropped, in the order of nodes.
 func (t *Table) All() []Berth { return slices.DeleteFunc(t.Since(0), Berth.dropped) }
 
--- a/internal/berths/berths_test.go
+++ b/internal/berths/berths_test.go
@@ -18,8 +18,16 @@
 			return b
 		})
 		in := rapid.SliceOfN(entry, 0, 12).Draw(t, "entries")
-		x, y, z := New(), New(), New()
-		at := uint64(0)
+		x, y, z, w := New(), New(), New(), New()
+		at, upto := uint64(0), uint64(0)
+		part := func() (more bool) { // of some entries
+			var told []Berth
+			told, upto, more = x.Part(upto, rapid.IntRange(1, 300).Draw(t, "bytes"))
+			for _, n := range told {
+				w.Join(n)
+			}
+			return more
+		}
 		for _, b := range in {
 			was, had := x.Get(b.Node)
 			took := x.Join(b)
@@ -27,6 +35,9 @@
 			if took != (now != was || !had) || had && was.newer(now) {
 				t.Fatalf("%+v after %+v: %v, %+v", b, was, took, now)
 			}
+			if rapid.Bool().Draw(t, "tell a part") {
+				part()
+			}
 			if rapid.Bool().Draw(t, "tell") {
 				for _, n := range x.Since(at) {
 					z.Join(n)
@@ -40,8 +51,27 @@
 		for _, b := range rapid.Permutation(append(in, in...)).Draw(t, "again") {
 			y.Join(b)
 		}
+		for range 4 { // as many parts as there are entries, at the most
+			if !part() {
+				break
+			}
+		}
+		if !reflect.DeepEqual(x.Since(0), w.Since(0)) || upto != x.At() {
+			t.Fatalf("by parts: %v up to %d\n%v up to %d", w.Since(0), upto, x.Since(0), x.At())
+		}
 		if !reflect.DeepEqual(x.Since(0), y.Since(0)) || !reflect.DeepEqual(x.Since(0), z.Since(0)) || len(x.Since(x.At())) > 0 {
 			t.Fatalf("%v\n%v\n%v", x.Since(0), y.Since(0), z.Since(0))
 		}
 	})
 }
+
+// However often entries change, what is kept of their order is bounded, and all that changed since is told from it.
+func TestChangesAreBounded(t *testing.T) {
+	x := New()
+	for i := range uint64(2000) {
+		x.Join(Berth{Node: string(rune('a' + i%3)), Version: i + 1})
+		if len(x.changes) > 2*3+staleChanges || len(x.Since(max(i, 2)-2)) != int(min(i+1, 3)) {
+			t.Fatalf("%d changes are kept, %v are told", len(x.changes), x.Since(max(i, 2)-2))
+		}
+	}
+}
--- a/internal/codebook/codebook.go
+++ b/internal/codebook/codebook.go
@@ -59,6 +59,7 @@
 	Handover                  // HandoverCall, Handed: from a voter that takes over
 	Rolls                     // to harbourmasters: RollsCall, RollsTold: the operator's word
 	Known                     // to harbourmasters: KnownCall, Mark: from a purser that begins
+	Turn                      // to pursers: TurnCall, Accepted: a page of what was chosen
 )
 
 // Voter is a member of those that count, and Roll the list of them.
@@ -71,23 +72,31 @@
 type PrepareCall struct {
 	B     manifest.Ballot `cbor:"1,keyasint"`
 	Epoch uint64          `cbor:"2,keyasint"`
+	Have  manifest.Ballot `cbor:"3,keyasint"` // chosen, and held whole: the member tells what changed after it
 }
 
-// AcceptCall tells the value of ballot B: changes to that of Base, or all of it where Base is zero.
+// AcceptCall tells the value of ballot B by its items that changed after ballot Base, up to which the member holds all items of
+// what was chosen.
 type AcceptCall struct {
 	B       manifest.Ballot `cbor:"1,keyasint"`
 	Base    manifest.Ballot `cbor:"2,keyasint"`
 	Changes []manifest.Item `cbor:"3,keyasint"`
 	Epoch   uint64          `cbor:"4,keyasint"`
-	Chosen  bool            `cbor:"5,keyasint"` // it is known to be chosen: for members that missed it
 }
 
-// Accepted answers an AcceptCall or a LearnCall.
+// Accepted answers an AcceptCall, a LearnCall or a TurnCall.
 type Accepted struct {
 	Vouch    ballot.Vouch    `cbor:"1,keyasint"`
 	Taken    bool            `cbor:"2,keyasint"`
 	Promised manifest.Ballot `cbor:"3,keyasint"`
 	Accepted manifest.Ballot `cbor:"4,keyasint"` // where it was not taken: what stands there
+	Chosen   manifest.Ballot `cbor:"5,keyasint"` // it holds all items up to this
+}
+
+// TurnCall brings a page of a chosen value to a member that missed it.
+type TurnCall struct {
+	Page  ballot.Page `cbor:"1,keyasint"`
+	Epoch uint64      `cbor:"2,keyasint"`
 }
 
 // LearnCall tells that the value of ballot B was chosen.
@@ -99,7 +108,8 @@
 type WatchCall struct {
 	Have   manifest.Ballot `cbor:"1,keyasint"`
 	HoldMs uint32          `cbor:"2,keyasint"`
-	Epoch  uint64          `cbor:"3,keyasint"` // of the roll that the caller has
+	Epoch  uint64          `cbor:"3,keyasint"`           // of the roll that the caller has
+	Open   bool            `cbor:"4,keyasint,omitempty"` // that the member is sealed is news
 }
 
 // Watched is a purser's state as far as the caller lacks it.
@@ -107,13 +117,22 @@
 	Vouch    ballot.Vouch    `cbor:"1,keyasint"` // By is -1 where it does not count
 	Promised manifest.Ballot `cbor:"2,keyasint"`
 	Accepted manifest.Ballot `cbor:"3,keyasint"`
-	Chosen   manifest.Ballot `cbor:"4,keyasint"`
-	Items    []manifest.Item `cbor:"5,keyasint"` // of the chosen value, that changed after Have
+	Chosen   manifest.Ballot `cbor:"4,keyasint"` // it holds all items up to this
+	Items    []manifest.Item `cbor:"5,keyasint"` // of the chosen value, that changed after From, up to Upto
 	Roll     Roll            `cbor:"6,keyasint"`
 	State    string          `cbor:"7,keyasint"` // serving, repairing, without disk, apart
 	Keys     int             `cbor:"8,keyasint"`
 	Shut     bool            `cbor:"9,keyasint,omitempty"` // sealed: a change of the roll is under way
 	Mark     uint64          `cbor:"10,keyasint,omitempty"`
+	HeldMs   uint32          `cbor:"14,keyasint,omitempty"` // for so long the call waited here: the rest of its time is the way's, or somebody slept
+	From     manifest.Ballot `cbor:"13,keyasint"`           // Have, as it was asked
+	Upto     manifest.Ballot `cbor:"11,keyasint"`           // with all up to Chosen, the page is the last
+	Known    manifest.Ballot `cbor:"12,keyasint"`           // the highest that it knows to be chosen: higher than Chosen while it catches up
+}
+
+// Page is what is told of the chosen value.
+func (w *Watched) Page() ballot.Page {
+	return ballot.Page{From: w.From, Upto: w.Upto, Target: w.Chosen, Items: w.Items}
 }
 
 // Mark is how far a member's disk had come when it spoke as a member. A disk that is behind a mark that it told is an older copy.
@@ -152,20 +171,26 @@
 	Addr string `cbor:"1,keyasint"` // its own, as in the roll
 	Inc  uint64 `cbor:"2,keyasint"` // 0: step 1
 	From string `cbor:"3,keyasint"` // claims of keys after this one
+
+	Have manifest.Ballot `cbor:"4,keyasint"` // items after this ballot
 }
 
-// Mustered answers a MusterCall.
+// Mustered answers a MusterCall. Its books come in parts: first the items of the base, then the rest of the claims. What is
+// told beside is of the moment of the part.
 type Mustered struct {
 	Vouch    ballot.Vouch    `cbor:"1,keyasint"`
 	Promised manifest.Ballot `cbor:"2,keyasint"`
 	Accepted manifest.Ballot `cbor:"3,keyasint"`
 	Chosen   manifest.Ballot `cbor:"4,keyasint"`
-	Items    []manifest.Item `cbor:"5,keyasint"` // the accepted value
+	Items    []manifest.Item `cbor:"5,keyasint"` // of the base, up to Upto
 	Claims   []ClaimCall     `cbor:"6,keyasint"`
-	More     bool            `cbor:"7,keyasint"`
+	More     bool            `cbor:"7,keyasint"` // claims
 	Roll     Roll            `cbor:"8,keyasint"`
 	Former   bool            `cbor:"9,keyasint,omitempty"` // the value was accepted in a former epoch
 	Seal     *relief.Seal    `cbor:"10,keyasint,omitempty"`
+	Upto     manifest.Ballot `cbor:"11,keyasint"` // less than Base: there are more items
+	Base     manifest.Ballot `cbor:"12,keyasint"` // of the chosen value, or of the accepted one where it holds no chosen one whole
+	Delta    []manifest.Item `cbor:"13,keyasint"` // of the accepted value, that changed after Base
 }
 
 // ReadyCall asks a purser how it stands, and for the number of its disk, which it puts there where it has none yet.
@@ -175,9 +200,10 @@
 
 // Readied answers a ReadyCall.
 type Readied struct {
-	State string `cbor:"1,keyasint"`
-	Epoch uint64 `cbor:"2,keyasint"`
-	Disk  uint64 `cbor:"3,keyasint"` // 0: it may not take an office over
+	State  string `cbor:"1,keyasint"`
+	Epoch  uint64 `cbor:"2,keyasint"`
+	Disk   uint64 `cbor:"3,keyasint"`           // 0: it may not take an office over
+	Quorum bool   `cbor:"4,keyasint,omitempty"` // its machine is one whose loss is bounded: it may become a voter with no word of the operator's
 }
 
 // SucceedCall asks an old voter for a promise, or to accept a successor of its roll.
@@ -202,15 +228,20 @@
 type HandoverCall struct {
 	Epoch uint64 `cbor:"1,keyasint"` // that begins
 	From  string `cbor:"2,keyasint"` // claims of keys after this one
+
+	Have manifest.Ballot `cbor:"3,keyasint"` // items after this ballot
 }
 
-// Handed answers a HandoverCall.
+// Handed answers a HandoverCall, in parts as a Mustered.
 type Handed struct {
 	Estate relief.Estate   `cbor:"1,keyasint"`
 	Former bool            `cbor:"2,keyasint,omitempty"`
-	Items  []manifest.Item `cbor:"3,keyasint"` // the accepted value
+	Items  []manifest.Item `cbor:"3,keyasint"` // of the base, up to Upto
 	Claims []ClaimCall     `cbor:"4,keyasint"`
-	More   bool            `cbor:"5,keyasint"`
+	More   bool            `cbor:"5,keyasint"` // claims
+	Upto   manifest.Ballot `cbor:"6,keyasint"` // less than Base: there are more items
+	Base   manifest.Ballot `cbor:"7,keyasint"`
+	Delta  []manifest.Item `cbor:"8,keyasint"` // of the accepted value, that changed after Base
 }
 
 // RollsCall asks a harbourmaster for another roll: all voters, or some of them replaced, each by the name of its node or by an
@@ -227,6 +258,7 @@
 	Roll   Roll   `cbor:"2,keyasint"` // that is in force, or would be
 	Why    string `cbor:"3,keyasint"` // it is not; "": it is, or would be
 	TookMs uint32 `cbor:"4,keyasint"`
+	Holds  int    `cbor:"5,keyasint,omitempty"` // voters known to hold the books in the new epoch; fewer than a majority: nobody that leaves may go yet
 }
 
 // Master is a harbourmaster.
@@ -247,8 +279,16 @@
 	HoldMs uint32          `cbor:"8,keyasint"`
 	Others []berths.Berth  `cbor:"9,keyasint,omitempty"` // of tugs that reach no harbourmaster and told this one
 	Sum    uint64          `cbor:"10,keyasint"`          // of the list of harbourmasters that the answerer told last
+
+	Cursor *Cursor `cbor:"11,keyasint,omitempty"` // goes on with items that this life told in part
 }
 
+// PartBytes bounds the items and entries of one message.
+const PartBytes = 256 << 10
+
+// Tells is the At of a call that tells something and asks for no entries.
+const Tells = ^uint64(0)
+
 // Sum tells one list of harbourmasters from another, whatever their order. It is never 0.
 func Sum(of []Master) (sum uint64) {
 	for _, m := range of {
@@ -268,14 +308,63 @@
 // News is what a harbourmaster tells.
 type News struct {
 	Life    uint64          `cbor:"1,keyasint"`
-	At      uint64          `cbor:"2,keyasint"`
-	Berths  []berths.Berth  `cbor:"3,keyasint"`
-	Chosen  manifest.Ballot `cbor:"4,keyasint"`
+	At      uint64          `cbor:"2,keyasint"` // the last change of this life that the entries bring; the next part goes on from there
+	Berths  []berths.Berth  `cbor:"3,keyasint"` // in the order of changes; each may be used as it comes
+	Chosen  manifest.Ballot `cbor:"4,keyasint"` // that the items make whole; zero amid parts
 	Items   []manifest.Item `cbor:"5,keyasint"`
 	Roll    *Roll           `cbor:"6,keyasint,omitempty"`
 	Masters []Master        `cbor:"7,keyasint,omitempty"`
-	FreshMs uint32          `cbor:"8,keyasint"` // since it heard a majority of those that count
-	Sum     uint64          `cbor:"9,keyasint"` // of the list of harbourmasters that it knows, told where the caller has another
+	FreshMs uint32          `cbor:"8,keyasint"`            // since it heard a majority of those that count
+	Sum     uint64          `cbor:"9,keyasint"`            // of the list of harbourmasters that it knows, told where the caller has another
+	HeldMs  uint32          `cbor:"10,keyasint,omitempty"` // of Watched
+
+	Cursor *Cursor `cbor:"11,keyasint,omitempty"` // there are more items: nothing of them may come into force yet
+	Whole  bool    `cbor:"12,keyasint,omitempty"` // items begin here that are all that stand: what isn't among them is gone
+
+	More    bool `cbor:"13,keyasint,omitempty"` // there are more entries
+	Partial bool `cbor:"14,keyasint,omitempty"` // the teller hasn't been told all entries itself yet: who is not ready does not become so by this
+}
+
+// Cursor is where items that are told in parts go on.
+type Cursor struct {
+	Place manifest.Cursor `cbor:"1,keyasint"`
+	Since manifest.Ballot `cbor:"2,keyasint"` // what was removed after this ballot is told as removed
+}
+
+// Tell tells what the caller lacks of the table's entries and of the set's items, as much as one message may hold. While both
+// are wanted, neither keeps the other waiting. bare: tombstones of ballots up to that are no more in the set, so that whoever
+// has only what is older, or nothing, is told all that stands. n names the teller's life.
+func (n *News) Tell(m PullCall, table *berths.Table, chosen manifest.Ballot, stands manifest.Set, bare manifest.Ballot) {
+	at, room := m.At, PartBytes
+	if m.Life != n.Life && at != Tells { // what another life counted tells nothing here
+		at = 0
+	}
+	if m.Have.Less(chosen) {
+		room /= 2
+	}
+	n.Berths, n.At, n.More = table.Part(at, room)
+	room = PartBytes
+	for _, b := range n.Berths {
+		room -= b.Size()
+	}
+	n.tellItems(m, chosen, stands, bare, room)
+}
+
+func (n *News) tellItems(m PullCall, chosen manifest.Ballot, stands manifest.Set, bare manifest.Ballot, room int) {
+	if n.Chosen = chosen; !m.Have.Less(chosen) {
+		return
+	}
+	from, since := manifest.After(m.Have), m.Have
+	if m.Cursor != nil && m.Life == n.Life { // another life may have told of another set
+		from, since = m.Cursor.Place, m.Cursor.Since
+	}
+	if since.IsZero() || since.Less(bare) {
+		n.Whole, from, since = true, manifest.Cursor{}, chosen
+	}
+	items, next := stands.Part(from, since, room)
+	if n.Items = items; next != nil { // parts make no ballot yet
+		n.Cursor, n.Chosen = &Cursor{Place: *next, Since: since}, manifest.Ballot{}
+	}
 }
 
 // LeaseCall asks a member for a duty, or gives it back.
--- a/internal/codebook/report.go
+++ b/internal/codebook/report.go
@@ -7,6 +7,7 @@
 
 	"saltmast/internal/berths"
 	"saltmast/internal/manifest"
+	"saltmast/internal/signal"
 )
 
 // Names of the programs.
@@ -46,6 +47,8 @@
 	Tug     *TugReport     `cbor:"18,keyasint,omitempty"`
 	Harbour *HarbourReport `cbor:"19,keyasint,omitempty"`
 	Purser  *PurserReport  `cbor:"20,keyasint,omitempty"`
+
+	Traffic []signal.Traffic `cbor:"21,keyasint,omitempty"` // of the whole process, by kind of call
 }
 
 // ItemReport is an item of the configuration without its content.
@@ -105,6 +108,8 @@
 	Pullers []string `cbor:"4,keyasint,omitempty"` // who waits for news now, by node
 	Left    int      `cbor:"5,keyasint,omitempty"` // pullers that were left out
 	Teaches bool     `cbor:"6,keyasint,omitempty"` // it holds that duty
+	// AnsweredMs is the time since each voter answered at all, by place, however it stood.
+	AnsweredMs []uint32 `cbor:"7,keyasint,omitempty"`
 }
 
 // PurserReport is a purser's own part.
@@ -179,10 +184,13 @@
 		Capacity: b.Capacity, State: b.State}
 }
 
-// ItemReports are those of a set.
+// ItemReports are those of a set, without what the register keeps for itself.
 func ItemReports(s manifest.Set) []ItemReport {
-	out := make([]ItemReport, 0, len(s))
-	for _, i := range s {
+	out := make([]ItemReport, 0, s.Len())
+	for i := range s.All() {
+		if i.Key.Kind == manifest.Refusals {
+			continue
+		}
 		out = append(out, ItemReport{Key: i.Key, Version: i.Version, Dropped: i.Dropped})
 	}
 	return out
--- a/internal/gangway/front.go
+++ b/internal/gangway/front.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"saltmast/internal/http1"
@@ -19,12 +19,41 @@
 	"saltmast/internal/tally"
 )
 
-// client is one connection of a client. Its goroutine alone reads and writes it.
-type client struct {
+// resting is a connection that others take up again. Its goroutine alone reads, writes and closes it, and nobody else knows
+// whether something was read off it: whoever wants it closed at rest has its wait end.
+type resting struct {
 	net.Conn
-	g    *Gangway
-	in   *bufio.Reader
-	idle atomic.Bool
+	mu   sync.Mutex
+	rest bool // it waits to be taken up
+}
+
+// hurry ends the wait to be taken up, if that is what the connection does.
+func (r *resting) hurry() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.rest {
+		r.SetReadDeadline(time.Now())
+	}
+}
+
+// wait waits for the first byte of what comes next until then, or until it is hurried. The deadline for reads is any after it.
+func (r *resting) wait(in *bufio.Reader, until time.Time) error {
+	r.mu.Lock()
+	r.rest = true
+	r.SetReadDeadline(until)
+	r.mu.Unlock()
+	_, err := in.Peek(1)
+	r.mu.Lock()
+	r.rest = false
+	r.mu.Unlock()
+	return err
+}
+
+// client is one connection of a client.
+type client struct {
+	resting
+	g  *Gangway
+	in *bufio.Reader
 }
 
 const (
@@ -42,8 +71,7 @@
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
-		c := &client{Conn: nc, g: g}
-		c.idle.Store(true)
+		c := &client{resting: resting{Conn: nc}, g: g}
 		g.mu.Lock()
 		if g.o.MaxConns > 0 && len(g.conns) >= g.o.MaxConns {
 			g.mu.Unlock()
@@ -62,51 +90,69 @@
 	}
 }
 
-// closeQuiet closes the connections that rest, unless something has come there, and counts the others.
+// closeQuiet has the connections that rest end, unless something has come there, and counts those that are there.
 func (g *Gangway) closeQuiet() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	left := 0
 	for c := range g.conns {
-		if c.idle.Load() && !sock.Pending(c.Conn) {
-			c.Close()
-			continue
+		c.hurry()
+	}
+	return len(g.conns)
+}
+
+// patience is how long it may rest, by the limits of the time.
+func (c *client) patience(first bool) (manifest.ClientLimits, time.Duration) {
+	limits := manifest.DefaultLimits()
+	if chart := c.g.chart.Load(); chart != nil {
+		limits = chart.Limits()
+	}
+	if first {
+		return limits, max(limits.IdleTimeout, firstTime)
+	}
+	return limits, limits.IdleTimeout
+}
+
+// await waits for the first byte of the next request, for so long as it may rest, or while the proxy stops until it is hurried. It
+// reports whether there is one, and the limits for it.
+func (c *client) await(first bool) (limits manifest.ClientLimits, ok bool) {
+	_, most := c.patience(first)
+	for since := time.Now(); ; {
+		err := c.wait(c.in, since.Add(most))
+		limits, most = c.patience(first) // raised meanwhile, it may rest for longer
+		switch {
+		case err == nil:
+			c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+			return limits, true
+		case !isTimeout(err):
+			return limits, false
+		case sock.Pending(c.Conn): // it came in that very moment: it is read, and answered
+			since = time.Now()
+			most = max(most, firstTime)
+		case c.g.stopping.Load() || time.Since(since) >= most:
+			return limits, false
 		}
-		left++
 	}
-	return left
 }
 
 func (c *client) serve() {
 	c.in = getReader(c.Conn)
 	defer func() { putReader(c.in) }()
 	for first := true; ; first = false {
-		limits := manifest.DefaultLimits()
-		if chart := c.g.chart.Load(); chart != nil {
-			limits = chart.Limits()
-		}
-		wait := limits.IdleTimeout
-		if first {
-			wait = max(wait, firstTime)
-		}
-		c.SetReadDeadline(time.Now().Add(wait))
-		if _, err := c.in.Peek(1); err != nil {
+		limits, ok := c.await(first)
+		if !ok {
 			return
 		}
-		c.idle.Store(false)
-		c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 		r, bad := http1.ReadRequest(c.in, http1.Limits{Head: limits.MaxHeaderBytes, Body: limits.MaxBodyBytes})
 		if bad != nil {
 			if !bad.Gone {
 				c.g.Counts.Bad.Add(1)
-				c.turnAway(bad.Status, bad.Why)
+				c.turnAway(c.g.byLimits(bad.Status, bad.Why))
 			}
 			return
 		}
 		if !c.request(r, limits) {
 			return
 		}
-		c.idle.Store(true)
 	}
 }
 
@@ -120,13 +166,13 @@
 		g.ended(&passage{kind: k, gone: k == plight.Broken}, nil)
 		if k != plight.Broken {
 			g.Counts.Bad.Add(1)
-			c.turnAway(k.Answer().Status, k.String())
+			c.turnAway(g.byLimits(k.Answer().Status, k.String()))
 		}
 		return false
 	}
 	v := &voyage{g: g, r: r, body: body, came: came}
 	if rest != nil {
-		v.rest = &stalling{c.Conn, rest}
+		v.rest = &stalling{c: c.Conn, r: rest}
 	}
 	a, k := v.sail()
 	now := time.Now()
@@ -211,6 +257,15 @@
 	return body, nil, plight.OK
 }
 
+// byLimits is the answer to a request of which nothing was passed on, and which may be beyond limits: where newer ones may allow it,
+// it is no refusal for good.
+func (g *Gangway) byLimits(status int, why string) (int, string) {
+	if (status == http.StatusRequestEntityTooLarge || status == http.StatusRequestHeaderFieldsTooLarge) && g.o.Vouched != nil && !g.o.Vouched() {
+		return plight.NotReady.Answer().Status, plight.NotReady.String()
+	}
+	return status, why
+}
+
 // own answers by the table of plights.
 func (c *client) own(k plight.Kind, v *voyage, last bool) bool {
 	a := k.Answer()
@@ -230,17 +285,21 @@
 	if a.Again {
 		head += "Retry-After: " + strconv.FormatFloat(v.comeBack(k).Seconds(), 'f', 3, 64) + "\r\n"
 	}
-	return c.put(a.Status, head, []byte(a.Text+"\n"), last)
+	return c.put(a.Status, head, []byte(a.Text+"\n"), last, v.r.Method)
 }
 
 func plain(s string) bool {
 	return len(s) < 256 && !strings.ContainsAny(s, "\r\n\x00")
 }
 
-func (c *client) put(status int, head string, body []byte, last bool) bool {
+// put writes an answer of this proxy to a request of a method. HEAD gets the head alone: what came behind it would be read as the
+// next answer.
+func (c *client) put(status int, head string, body []byte, last bool, method string) bool {
 	buf := getBuf()
 	msg := http1.AppendHead((*buf)[:0], status, head, int64(len(body)), last)
-	msg = append(msg, body...)
+	if method != http.MethodHead {
+		msg = append(msg, body...)
+	}
 	c.SetWriteDeadline(time.Now().Add(stallTime))
 	_, err := c.Conn.Write(msg)
 	*buf = msg[:0]
@@ -255,14 +314,17 @@
 	if length < 0 {
 		length = http1.Chunked
 	}
-	if a.Status == 204 || a.Status == 304 || r.Method == http.MethodHead {
+	bare := a.Status == 204 || a.Status == 304 || r.Method == http.MethodHead
+	if bare {
 		length = http1.UntilClose
 	}
 	buf := getBuf()
 	msg := appendAnswer((*buf)[:0], a, length, last)
-	if a.Rest == nil {
+	switch {
+	case bare: // also where it is the kept answer to the first request of a key, which was no HEAD
+	case a.Rest == nil:
 		msg = append(msg, a.Body...)
-	} else {
+	default:
 		msg = appendChunk(msg, a.Body, length)
 	}
 	c.SetWriteDeadline(now.Add(stallTime))
@@ -331,7 +393,7 @@
 
 // turnAway answers what can't be taken and ends its connection: what follows can't be trusted.
 func (c *client) turnAway(status int, why string) {
-	c.put(status, "Content-Type: text/plain; charset=utf-8\r\n", []byte(why+"\n"), true)
+	c.put(status, "Content-Type: text/plain; charset=utf-8\r\n", []byte(why+"\n"), true, "")
 	linger(c.Conn)
 }
 
@@ -397,6 +459,9 @@
 	}
 	path, _, _ := strings.Cut(v.r.Target, "?")
 	if v.route = chart.Route(v.r.Host, path); v.route == nil {
+		if v.g.o.Vouched != nil && !v.g.o.Vouched() { // a newer configuration may have it
+			return nil, plight.NotReady
+		}
 		return nil, plight.NoRoute
 	}
 	left := v.route.Deadline
@@ -409,6 +474,11 @@
 	}
 	v.cut = v.came.Add(left)
 	v.log.target = v.route.Target
+	for _, name := range [...]string{HeaderID, HeaderLeft, HeaderKey} {
+		if len(v.r.Header[name]) > 1 { // which of them counts, its backend may read in another way
+			return nil, plight.Unreadable
+		}
+	}
 	rest := time.Until(v.cut)
 	if v.log.body = left - rest; rest <= 0 {
 		return nil, plight.Overdue
--- a/internal/gangway/gangway.go
+++ b/internal/gangway/gangway.go
@@ -4,6 +4,7 @@
 package gangway
 
 import (
+	"io"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -29,6 +30,8 @@
 	HeaderTarget = "Violetlatch-Target-Instance"
 	HeaderNotRun = "Violetlatch-Not-Executed"
 	HeaderCaller = "Violetlatch-Caller-Service"
+
+	headerPrefix = "Violetlatch-" // of all of them
 )
 
 // Options are what a gangway is made of.
@@ -53,6 +56,7 @@
 	Heard   func(addr string)                 // another proxy answered; nil: nobody asks
 	News    func(call []byte) ([]byte, error) // answers a PullCall of another proxy; nil: none are
 	Report  func(call []byte) ([]byte, error) // answers a ReportCall; nil: none are
+	Vouched func() bool                       // the configuration is no old one, as far as is known; nil: it never is
 	Log     func(event, text string)
 }
 
@@ -155,18 +159,27 @@
 	return g.elseFor(a, body)
 }
 
-// AskNews asks another proxy, drawn among those that can be reached, for news.
-func (g *Gangway) AskNews(call []byte, wait time.Duration) ([]byte, error) {
-	at := g.relays(1)
-	if len(at) == 0 {
-		return nil, plight.New(plight.Away, "no other proxy known")
+// Another draws another proxy among those that can be reached. ok: there is one.
+func (g *Gangway) Another() (at string, ok bool) {
+	drawn := g.relays(1)
+	if len(drawn) == 0 {
+		return "", false
+	}
+	return drawn[0], true
+}
+
+// AskNews asks another proxy, at an address, for news.
+func (g *Gangway) AskNews(at string, call []byte, wait time.Duration) (news []byte, err error) {
+	o := g.hops.do(at, &ask{Kind: newsFor, Length: int64(len(call))}, call, nil, time.Now().Add(wait))
+	if o.answer == nil {
+		return nil, plight.New(plight.Away, "%s", at)
 	}
-	o := g.hops.do(at[0], &ask{Kind: newsFor, Length: int64(len(call))}, call, nil, time.Now().Add(wait))
-	if o.answer == nil || o.answer.Rest != nil {
-		o.answer.Close(false)
-		return nil, plight.New(plight.Away, "%s", at[0])
+	if o.answer.Rest == nil {
+		return o.answer.Body, nil
 	}
-	return o.answer.Body, nil
+	rest, err := io.ReadAll(io.LimitReader(o.answer.Rest, signal.MaxFrame))
+	o.answer.Close(err == nil && len(rest) < signal.MaxFrame)
+	return append(o.answer.Body, rest...), err
 }
 
 // relays draws up to n other proxies that can be reached, as far as is known.
@@ -203,7 +216,9 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	time.Sleep(min(30*time.Millisecond, max(0, time.Until(end)))) // the last answers leave
+	for time.Now().Before(end) && g.Gate.closeQuiet() > 0 { // the last answers leave
+		time.Sleep(20 * time.Millisecond)
+	}
 	g.Gate.CloseAll()
 }
 
@@ -231,7 +246,7 @@
 		"relays": c.Relays.Load(), "relayed": c.Relayed.Load(),
 		"gate_asks": q.Asks.Load(), "gate_sent": q.Sent.Load(), "gate_full": q.Full.Load(), "gate_leaving": q.Leaving.Load(),
 		"gate_elsewhere": q.Elsewhere.Load(), "gate_away": q.Away.Load(), "gate_turned": q.TurnedAway.Load(),
-		"gate_failed": q.Failed.Load(), "gate_broken": q.Broken.Load(), "gate_timeout": q.TimedOut.Load(), "gate_strange": q.Strange.Load(),
+		"gate_failed": q.Failed.Load(), "gate_broken": q.Broken.Load(), "gate_timeout": q.TimedOut.Load(), "gate_strange": q.Strange.Load(), "gate_given_up": q.GivenUp.Load(),
 	}
 	for k := range c.ByKind {
 		if n := c.ByKind[k].Load(); n > 0 {
--- a/internal/gangway/gate.go
+++ b/internal/gangway/gate.go
@@ -35,11 +35,14 @@
 	pool *links.Pool
 	book *signal.Owner[tally.Book[*Answer]]
 
+	caller atomic.Pointer[string]
+
 	mu      sync.Mutex
 	berth   berths.Berth // what this proxy tells of itself
 	addr    string       // of the backend
 	count   uint64       // of its newest beat
 	beat    time.Time
+	looked  time.Time // whether beats come
 	warmAt  time.Time
 	running int
 	queue   waits
@@ -47,7 +50,7 @@
 	kept    [4]kept            // places for those of each rank, from which those that rank behind are kept
 	past    []string           // lives that have ended
 	news    func(berths.Berth) // hears of each change
-	open    map[net.Conn]bool
+	open    map[*resting]bool  // of other proxies
 	ended   bool
 
 	Counts GateCounts
@@ -55,7 +58,7 @@
 
 // GateCounts count what a gate did with asks.
 type GateCounts struct {
-	Asks, Sent, Full, Leaving, Elsewhere, Away, TurnedAway, Failed, Broken, TimedOut, Strange, Recalls atomic.Int64
+	Asks, Sent, Full, Leaving, Elsewhere, Away, TurnedAway, Failed, Broken, TimedOut, Strange, GivenUp, Recalls atomic.Int64
 }
 
 // wait is one ask that waits for a place.
@@ -85,19 +88,22 @@
 }
 
 const (
-	backendIdle  = 9 * time.Second
-	backendDial  = 500 * time.Millisecond
-	queuePart    = 1.0 // asks that may wait, of the capacity
-	lateBy       = 40 * time.Millisecond
-	keepMost     = 0.34        // of the capacity, that is kept free for those that rank before at the most
-	keepHalf     = time.Second // after which half of that is given back
-	maxStrange   = 4           // answers to others that may come before the one that is wanted
-	maxAnswer    = 1 << 40
-	keepAliveOff = 300 * time.Millisecond // a connection is let go so long before its backend would
+	backendIdle = 9 * time.Second
+	backendDial = 500 * time.Millisecond
+	queuePart   = 1.0 // asks that may wait, of the capacity
+	lateBy      = 40 * time.Millisecond
+	keepMost    = 0.34        // of the capacity, that is kept free for those that rank before at the most
+	keepHalf    = time.Second // after which half of that is given back
+	maxStrange  = 4           // answers to others that may come before the one that is wanted
+	maxEarly    = 32          // heads of status 1xx that may come ahead of it
+	maxAnswer   = 1 << 40
+	// maxAnswerHead bounds the head of an answer, which has to have room in a hop's.
+	maxAnswerHead = maxHopHead / 2
+	keepAliveOff  = 300 * time.Millisecond // a connection is let go so long before its backend would
 )
 
 func newGate(o Options) *Gate {
-	g := &Gate{o: o, pool: links.New(backendIdle, backendDial, 0), open: map[net.Conn]bool{},
+	g := &Gate{o: o, pool: links.New(backendIdle, backendDial, 0), open: map[*resting]bool{},
 		berth: berths.Berth{Node: o.Node, Addr: o.GateAddr, Zone: o.Zone, Life: o.Life, Version: 1, Service: o.Service}}
 	g.pool.Net = sock.On(o.Net)
 	g.book = signal.Own(tally.NewBook[*Answer](o.KeyWindow, o.AnswerBytes/2), 256)
@@ -197,13 +203,22 @@
 	return nil
 }
 
-// Watch looks whether beats still come.
+// LookEvery is how often a proxy looks whether beats still come.
+const LookEvery = 500 * time.Millisecond
+
+// Watch looks whether beats still come. Time in which this process did not run counts against nobody: its backend's
+// beats may have yet to be read.
 func (g *Gate) Watch(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if slept := now.Sub(g.looked) - LookEvery; !g.looked.IsZero() && slept > LookEvery {
+		if g.beat = g.beat.Add(slept); g.beat.After(now) {
+			g.beat = now
+		}
+	}
+	g.looked = now
 	if g.berth.State != berths.None && now.Sub(g.beat) > 4*g.o.Heartbeat {
 		g.change(func(b *berths.Berth) { b.State = berths.None })
-		g.count = 0
 		g.o.Log("backend", g.berth.Instance+": says nothing more")
 		g.turnOut()
 	}
@@ -377,6 +392,11 @@
 		g.exit()
 		return g.tell(outcome{told: told{Plight: plight.Overdue}})
 	}
+	if a.gone != nil && a.gone() {
+		g.exit()
+		g.Counts.GivenUp.Add(1)
+		return g.tell(outcome{told: told{Plight: plight.Overdue}})
+	}
 	if a.Key != "" {
 		g.book.Ask(func(b *tally.Book[*Answer]) {
 			b.Forget(a.Key, a.Claim)
@@ -451,34 +471,35 @@
 
 // exchange sends a request to the backend and reads its answer.
 func (g *Gate) exchange(a *ask, body []byte, rest io.Reader, cut time.Time) outcome {
-	c := g.pool.Take(a.Instance)
-	if c == nil {
-		g.mu.Lock()
-		addr := g.addr
-		g.mu.Unlock()
-		if addr == "" {
-			addr = g.o.App
+	end := cut.Add(lateBy)
+	var c *links.Conn
+	var err error
+	for {
+		var o *outcome
+		if c, o = g.connect(a, cut); o != nil {
+			return *o
+		}
+		c.SetDeadline(end)
+		buf := getBuf()
+		msg := appendRequest((*buf)[:0], a, g.o.Service, time.Until(cut))
+		head := len(msg)
+		if rest == nil {
+			msg = append(msg, body...)
+		}
+		var n int
+		n, err = c.Write(msg)
+		*buf = msg[:0]
+		putBuf(buf)
+		if n >= head {
+			break
 		}
-		var err error
-		if c, err = g.pool.Dial(context.Background(), a.Instance, addr, cut); err != nil {
+		g.pool.Close(c) // not even its head can be there: nothing ran
+		if c.Since().IsZero() || !time.Now().Before(cut) {
 			g.Counts.Away.Add(1)
-			if !isTimeout(err) {
-				g.refused(a.Instance)
-			}
 			return outcome{told: told{Plight: plight.Away}, err: err}
 		}
 	}
-	end := cut.Add(lateBy)
-	c.SetDeadline(end)
 	g.Counts.Sent.Add(1)
-	buf := getBuf()
-	msg := appendRequest((*buf)[:0], a, g.o.Service, time.Until(cut))
-	if rest == nil {
-		msg = append(msg, body...)
-	}
-	_, err := c.Write(msg)
-	*buf = msg[:0]
-	putBuf(buf)
 	if err == nil && rest != nil {
 		err = passBody(c, a.Length, body, rest)
 		c.SetDeadline(end)
@@ -487,11 +508,13 @@
 		g.pool.Close(c)
 		return outcome{told: told{Plight: plight.Broken, Sent: true}, err: err}
 	}
-	in := getReader(c)
-	o, again, rested := g.answer(c, in, a, end)
+	most := &headBound{r: c}
+	in := getReader(most)
+	o, again, rested := g.answer(c, in, most, a, end)
 	if err != nil {
 		again = false
 	}
+	c.Last = a.ID
 	if o.answer != nil && o.answer.Rest != nil {
 		o.answer.end = func(whole bool) { g.giveBack(c, in, whole && again, rested) }
 		return o
@@ -500,6 +523,35 @@
 	return o
 }
 
+// connect gives a connection to the backend that an ask is meant for; else the outcome.
+func (g *Gate) connect(a *ask, cut time.Time) (*links.Conn, *outcome) {
+	for {
+		c := g.pool.Take(a.Instance)
+		if c == nil {
+			break
+		}
+		if c.Last != a.ID || a.ID == "" {
+			return c, nil
+		}
+		g.pool.Close(c) // a second copy of that answer may come, and could be taken for the answer to this
+	}
+	g.mu.Lock()
+	addr := g.addr
+	g.mu.Unlock()
+	if addr == "" {
+		addr = g.o.App
+	}
+	c, err := g.pool.Dial(context.Background(), a.Instance, addr, cut)
+	if err != nil {
+		g.Counts.Away.Add(1)
+		if !isTimeout(err) {
+			g.refused(a.Instance)
+		}
+		return nil, &outcome{told: told{Plight: plight.Away}, err: err}
+	}
+	return c, nil
+}
+
 func (g *Gate) giveBack(c *links.Conn, in *bufio.Reader, again bool, rest time.Duration) {
 	again = again && in.Buffered() == 0
 	putReader(in)
@@ -511,7 +563,7 @@
 }
 
 // answer reads the answer to an ask. again: another request may follow on the connection, which may rest for so long.
-func (g *Gate) answer(c *links.Conn, in *bufio.Reader, a *ask, end time.Time) (o outcome, again bool, rest time.Duration) {
+func (g *Gate) answer(c *links.Conn, in *bufio.Reader, most *headBound, a *ask, end time.Time) (o outcome, again bool, rest time.Duration) {
 	fail := func(err error) (outcome, bool, time.Duration) {
 		k := plight.Broken
 		var ne net.Error
@@ -527,15 +579,19 @@
 		}
 		return outcome{told: told{Plight: k, Sent: true}, err: err}, false, 0
 	}
-	for range maxStrange {
+	first := c.Since().IsZero() // nothing was asked on it before
+	for strange, early := 0, 0; strange < maxStrange && early < maxEarly; {
+		most.left = maxAnswerHead
 		status, h, last, err := http1.ReadAnswer(in)
 		if err != nil {
 			return fail(err)
 		}
+		most.left = -1
 		if status >= 100 && status < 200 {
 			if status == 101 {
 				return fail(errors.New("a change of protocol that nobody asked for"))
 			}
+			early++
 			continue
 		}
 		length := int64(0)
@@ -547,7 +603,12 @@
 		body := http1.AnswerBody(in, length)
 		id := h.Get(HeaderID)
 		declined := h.Get(HeaderNotRun) != "" || status == 421
-		if id != a.ID && !(id == "" && declined) { // an answer to another, which came late
+		if len(h[HeaderID]) > 1 {
+			return fail(errors.New("an answer with two ids"))
+		}
+		if id != a.ID && !(id == "" && declined && first) { // an answer to another, which came late
+			first = false
+			strange++
 			g.Counts.Strange.Add(1)
 			if id == "" || last || length == http1.UntilClose {
 				return fail(errors.New("an answer to no request of ours"))
@@ -582,14 +643,34 @@
 			if length < 0 {
 				ans.Length = pieces
 			}
-			ans.Rest = body
 			c.SetDeadline(time.Time{})
+			ans.Rest = &stalling{c, body, end}
 		}
 		return outcome{told: told{Sent: true, Status: status}, answer: ans}, again, rest
 	}
 	return fail(errors.New("no end of answers to others"))
 }
 
+// headBound bounds what is read of a head, beyond what a buffer has of it; left below 0: nothing is.
+type headBound struct {
+	r    io.Reader
+	left int
+}
+
+var errLongHead = errors.New("too long a head")
+
+func (h *headBound) Read(b []byte) (int, error) {
+	if h.left < 0 {
+		return h.r.Read(b)
+	}
+	if h.left == 0 {
+		return 0, errLongHead
+	}
+	n, err := h.r.Read(b[:min(len(b), h.left)])
+	h.left -= n
+	return n, err
+}
+
 func isTimeout(err error) bool {
 	var ne net.Error
 	return errors.As(err, &ne) && ne.Timeout()
@@ -620,10 +701,15 @@
 	return out
 }
 
+// dropped reports whether a header concerns one connection. What the mesh's protocol and the content hang on is for all on its way,
+// so a Connection that names it takes nothing out (RFC 9110, 7.6.1: a sender must not name such a field).
 func dropped(name string, h map[string][]string) bool {
 	if name == "Content-Length" || http1.SingleHop(name) {
 		return true
 	}
+	if name == "Host" || strings.HasPrefix(name, headerPrefix) || strings.HasPrefix(name, "Content-") {
+		return false
+	}
 	for _, v := range h["Connection"] {
 		for option := range strings.SplitSeq(v, ",") {
 			if strings.EqualFold(strings.TrimSpace(option), name) {
@@ -709,19 +795,42 @@
 			continue
 		}
 		sock.SetQuiet(c, hopQuiet)
+		if ip, _, err := net.SplitHostPort(c.RemoteAddr().String()); err == nil {
+			g.caller.Store(&ip)
+		}
+		r := &resting{Conn: c}
 		g.mu.Lock()
-		g.open[c] = true
+		g.open[r] = true
 		g.mu.Unlock()
 		go func() {
-			g.serve(c, own)
+			g.serve(r, own)
 			c.Close()
 			g.mu.Lock()
-			delete(g.open, c)
+			delete(g.open, r)
 			g.mu.Unlock()
 		}()
 	}
 }
 
+// Caller is the address, without a port, of the machine that connected last to ask something here; empty: none has.
+func (g *Gate) Caller() string {
+	if ip := g.caller.Load(); ip != nil {
+		return *ip
+	}
+	return ""
+}
+
+// closeQuiet has the connections of other proxies that rest end, unless something has come there, and counts those that are
+// there.
+func (g *Gate) closeQuiet() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.open {
+		c.hurry()
+	}
+	return len(g.open)
+}
+
 // CloseAll ends the connections of other proxies.
 func (g *Gate) CloseAll() {
 	g.mu.Lock()
@@ -731,14 +840,25 @@
 	}
 }
 
-func (g *Gate) serve(c net.Conn, own func(a *ask, body []byte) outcome) {
+func (g *Gate) serve(c *resting, own func(a *ask, body []byte) outcome) {
 	in := bufio.NewReaderSize(c, 4<<10)
-	for {
-		c.SetReadDeadline(time.Now().Add(hopIdle + 5*time.Second))
+	for long := false; ; {
+		if err := c.wait(in, time.Now().Add(hopIdle+5*time.Second)); err != nil {
+			if isTimeout(err) && sock.Pending(c.Conn) { // it came in that very moment
+				continue
+			}
+			return
+		}
+		c.SetReadDeadline(time.Now().Add(stallTime))
 		var a ask
 		if err := readMessage(in, &a); err != nil {
 			return
 		}
+		if long {
+			sock.SetQuiet(c.Conn, hopQuiet)
+		}
+		// A proxy that was frozen finds asks that waited in its sockets, for however long: who made one and gave it up has closed.
+		a.gone = func() bool { return sock.Closed(c.Conn) }
 		var o outcome
 		var body []byte
 		var rest io.Reader
@@ -759,28 +879,33 @@
 		default:
 			rest = &pieceReader{in: in}
 			c.SetReadDeadline(time.Time{})
-			o = g.run(&a, nil, &stalling{c, rest})
-			if pr := rest.(*pieceReader); pr.err != io.EOF { // what is left of the body is nobody's, and a close would reset the answer
-				if writeTold(c, o) {
-					linger(c)
-				}
-				return
+			o = g.run(&a, nil, &stalling{c: c.Conn, r: rest})
+			o.Number = a.Number
+			if writeTold(c.Conn, o) { // what is left of the body is nobody's, and a close would reset the answer
+				linger(c.Conn)
 			}
+			return
 		}
-		if !writeTold(c, o) {
+		o.Number, long = a.Number, o.answer != nil && o.answer.Rest != nil
+		if !writeTold(c.Conn, o) {
 			return
 		}
 	}
 }
 
-// stalling bounds how long each read of a body may bring nothing.
+// stalling bounds how long each read of a body may bring nothing, but not before the time of its request is over.
 type stalling struct {
-	c net.Conn
-	r io.Reader
+	c   net.Conn
+	r   io.Reader
+	end time.Time // zero: it bounds each read
 }
 
 func (s *stalling) Read(b []byte) (int, error) {
-	s.c.SetReadDeadline(time.Now().Add(stallTime))
+	until := time.Now().Add(stallTime)
+	if s.end.After(until) {
+		until = s.end
+	}
+	s.c.SetReadDeadline(until)
 	return s.r.Read(b)
 }
 
@@ -802,6 +927,7 @@
 		putBuf(buf)
 		return err == nil
 	}
+	sock.SetQuiet(c, longHop) // until the next ask: what is left of this answer in the socket may wait longer than here
 	whole := false
 	defer func() { a.Close(whole) }()
 	first := a.Body
--- a/internal/gangway/hop.go
+++ b/internal/gangway/hop.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"saltmast/internal/http1"
@@ -63,6 +64,9 @@
 	ID       string   `cbor:"12,keyasint"` // of the attempt, as the client gave it
 	Key      string   `cbor:"13,keyasint,omitempty"`
 	Claim    tally.ID `cbor:"14,keyasint"`
+	Number   uint64   `cbor:"15,keyasint,omitempty"` // of the ask, of all that its proxy made; its answer bears it too
+
+	gone func() bool // whether whoever made it has given it up; nil: it was made here
 }
 
 // told is the head of an answer on a hop.
@@ -77,6 +81,7 @@
 	State   tally.State `cbor:"9,keyasint"`            // of a recall
 	Held    uint32      `cbor:"12,keyasint,omitempty"` // milliseconds that it waited for a place
 
+	Number  uint64        `cbor:"13,keyasint,omitempty"` // of the ask that it answers
 	Verdict tally.Verdict `cbor:"10,keyasint,omitempty"` // of a claim
 	Holder  *tally.ID     `cbor:"11,keyasint,omitempty"`
 }
@@ -219,12 +224,14 @@
 // hops makes hops to other proxies.
 type hops struct {
 	pool *links.Pool
+	made atomic.Uint64
 }
 
 const (
 	hopDial  = 300 * time.Millisecond
 	hopIdle  = 20 * time.Second
-	hopQuiet = 500 * time.Millisecond // sent bytes that stay unacknowledged for so long end a hop
+	hopQuiet = 500 * time.Millisecond // sent bytes that stay unacknowledged for so long end a hop ...
+	longHop  = stallTime              // ... or so long where a body goes on as it comes: a reader that pauses acknowledges, but takes none
 )
 
 func newHops(n sock.Net) *hops {
@@ -250,16 +257,29 @@
 		return outcome{told: told{Plight: plight.Away}, err: err, hop: true}
 	}
 	c.SetDeadline(cut)
+	b := *a // an ask may be made again
+	b.Number = h.made.Add(1)
 	buf := getBuf()
-	msg := appendMessage((*buf)[:0], a, body)
-	_, err = c.Write(msg)
+	msg := appendMessage((*buf)[:0], &b, body)
+	if len(msg)-len(body)-4 > maxHopHead { // nobody reads it
+		putBuf(buf)
+		h.pool.Release(c)
+		return outcome{told: told{Plight: plight.HeadTooLong}}
+	}
+	n, err := c.Write(msg)
+	whole := n == len(msg)
 	*buf = msg[:0]
 	putBuf(buf)
-	if err != nil { // some of it may have arrived whole
+	if err != nil {
 		h.pool.Close(c)
+		if !whole { // the other side can't have it whole, and does nothing before it has
+			h.pool.CloseIdle(addr)
+			return outcome{told: told{Plight: plight.Away}, err: err, hop: true}
+		}
 		return outcome{told: told{Plight: plight.Broken, Sent: true}, err: err, hop: true}
 	}
 	if stream != nil {
+		sock.SetQuiet(c.Conn, longHop)
 		if err = sendPieces(c, stream); errors.Is(err, errClient) {
 			h.pool.Close(c)
 			return outcome{told: told{Plight: plight.Broken, Sent: true}, err: err}
@@ -269,10 +289,14 @@
 			c.SetDeadline(time.Now().Add(lingerTime))
 		}
 	}
-	spoilt := err != nil // nothing more may be sent on it
+	spoilt := stream != nil // the other side ends it where it answered before it had read all
 	in := getReader(c)
 	var t told
-	if err := readMessage(in, &t); err != nil {
+	err = readMessage(in, &t)
+	if err == nil && t.Number != b.Number && t.Number != 0 { // 0: a proxy of an earlier version
+		err = plight.New(plight.Malformed, "the answer to ask %d for ask %d", t.Number, b.Number)
+	}
+	if err != nil {
 		putReader(in)
 		h.pool.Close(c)
 		k := plight.Broken
@@ -305,8 +329,9 @@
 		h.pool.Close(c)
 		return outcome{told: told{Plight: plight.Broken, Sent: true, Status: t.Status}, err: err, hop: true}
 	}
-	if o.answer.Rest != nil {
+	if o.answer.Rest != nil && a.Kind != newsFor { // news is read whole within its time
 		c.SetDeadline(time.Time{})
+		o.answer.Rest = &stalling{c.Conn, o.answer.Rest, cut}
 	}
 	return o
 }
--- a/internal/gangway/way_test.go
+++ b/internal/gangway/way_test.go
@@ -16,7 +16,6 @@
 	"saltmast/internal/codebook"
 	"saltmast/internal/council"
 	"saltmast/internal/drydock/sea"
-	"saltmast/internal/manifest"
 	"saltmast/internal/pilot"
 	"saltmast/internal/sock"
 	"saltmast/internal/tally"
@@ -67,16 +66,7 @@
 		Heartbeat: time.Hour, Ratio: 1, Allowance: 100, Window: 10 * time.Second, KeyWindow: time.Minute, AnswerBytes: 1 << 20,
 		Net: p, Council: council.New(p), Log: func(event, text string) { t.Log(event, text) }})
 	on.Gate.OnChange(func(b berths.Berth) { on.Hear(b) })
-	call, err := manifest.DecodeCall([]byte(`{"upsert":{"resources":[{"resource-kind":"services","metadata":{"name":"ledger","version":"r1"},"specification":{}},` +
-		`{"resource-kind":"routes","metadata":{"name":"a","version":"r1"},"specification":` + route + `}]}}`))
-	if err != nil {
-		t.Fatal(err)
-	}
-	set := manifest.Set{}
-	for _, i := range call.Items {
-		set.Join(i)
-	}
-	on.Configure(set.Chart())
+	on.limit(t, route, "{}")
 	on.Gate.Beat(pilot.Beat{ID: "i-1", Service: "ledger", Capacity: 2, Count: 1, State: berths.Serving})
 	go on.Serve(listen(on.front))
 	t.Cleanup(func() {
--- /dev/null
+++ b/internal/harbour/contact_test.go
@@ -0,0 +1,250 @@
+package harbour
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"saltmast/internal/ballot"
+	"saltmast/internal/codebook"
+	"saltmast/internal/council"
+	"saltmast/internal/drydock/sea"
+	"saltmast/internal/duty"
+	"saltmast/internal/manifest"
+	"saltmast/internal/plight"
+	"saltmast/internal/signal"
+)
+
+// Contact is with a majority that spoke lately, in this epoch, unsealed, and knows of nothing that is not known here; whatever
+// else comes, and whenever it is read.
+func TestContact(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		time.Sleep(time.Minute)
+		for name, c := range map[string]struct {
+			ago    time.Duration
+			change func(*codebook.Watched)
+			most   uint32
+		}{
+			"a majority spoke":              {0, func(*codebook.Watched) {}, 0},
+			"it was read late":              {20 * time.Second, func(*codebook.Watched) {}, 20_000},
+			"one is sealed":                 {0, func(w *codebook.Watched) { w.Shut = true }, codebook.Never},
+			"one is of another epoch":       {0, func(w *codebook.Watched) { w.Roll.Epoch = 1 }, codebook.Never},
+			"one may know of a newer value": {0, func(w *codebook.Watched) { w.Accepted.N = 9 }, codebook.Never},
+			"one makes up for its disk":     {0, func(w *codebook.Watched) { w.State = "repairing" }, codebook.Never},
+			"one speaks for another":        {0, func(w *codebook.Watched) { w.Vouch.By = 0 }, codebook.Never},
+			"one has yet to hear what is chosen": {0, func(w *codebook.Watched) {
+				w.Chosen, w.Accepted, w.Known, w.Upto = manifest.Ballot{}, manifest.Ballot{}, manifest.Ballot{}, manifest.Ballot{}
+			}, 0},
+			"one catches up with a newer value": {0, func(w *codebook.Watched) { w.Known.N = 9 }, codebook.Never},
+		} {
+			h, b := ashore(t)
+			roll := codebook.Roll{Epoch: 2, Voters: make([]codebook.Voter, 3)}
+			h.council.Take(roll)
+			b.leases = map[duty.Name]*duty.Lease{}
+			b.heard, b.vouched, b.pending, b.behind, b.shut = make([]time.Time, 3), make([]time.Time, 3), make([]time.Time, 3), make([]int, 3), make([]time.Time, 3)
+			b.marks, b.upto, b.taught, b.answered = make([]codebook.Mark, 3), make([]manifest.Ballot, 3), make([]bool, 3), make([]time.Time, 3)
+			for i := range 2 {
+				w := codebook.Watched{State: "serving", Vouch: ballot.Vouch{By: i}, Roll: roll, Chosen: manifest.Ballot{N: 3}, Accepted: manifest.Ballot{N: 3},
+					Known: manifest.Ballot{N: 3}, Upto: manifest.Ballot{N: 3}}
+				ago := c.ago
+				if i == 1 {
+					c.change(&w)
+				} else {
+					ago = 0
+				}
+				b.watched(i, w, time.Now().Add(-ago))
+			}
+			if got := b.fresh(); got != c.most {
+				t.Errorf("%s: %d ms, wanted %d", name, got, c.most)
+			}
+			h.council.Close()
+		}
+	})
+}
+
+// Who slept, or heard no majority, holds no voter for lost that was silent meanwhile.
+func TestNobodyIsLostByASleep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, b := ashore(t)
+		h.o.Lost = 10 * time.Second
+		b.begun, b.since = time.Now(), time.Now()
+		lease := &duty.Lease{Members: 1}
+		b.leases = map[duty.Name]*duty.Lease{duty.Roll: lease}
+		n := func() []time.Time { return []time.Time{time.Now(), time.Now(), time.Now()} }
+		b.heard, b.vouched, b.answered = n(), n(), n()
+		lost := func() bool {
+			lease.Due(time.Since(b.begun))
+			lease.Granted(lease.Asked(), 0)
+			b.tend(time.Now())
+			return !b.sought.IsZero()
+		}
+		time.Sleep(time.Minute) // it sleeps; then two of three are heard first
+		b.tend(time.Now())
+		for i := range 2 {
+			b.heard[i], b.vouched[i], b.answered[i] = time.Now(), time.Now(), time.Now()
+		}
+		if lost() {
+			t.Error("lost by a sleep")
+		}
+		close(h.ended) // no change is begun
+		for range 11 {
+			time.Sleep(time.Second)
+			for i := range 2 {
+				b.heard[i], b.vouched[i], b.answered[i] = time.Now(), time.Now(), time.Now()
+			}
+			lost()
+		}
+		if !lost() {
+			t.Error("one that is silent to a majority that is heard is not lost")
+		}
+	})
+}
+
+// The same where two answer, and are read, before it looks: the third's answer is on its way.
+func TestNobodyIsLostByAnswersAfterASleep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, b := ashore(t)
+		defer h.council.Close()
+		h.o.Lost = 2 * time.Second
+		roll := codebook.Roll{Epoch: 2, Voters: make([]codebook.Voter, 3)}
+		h.council.Take(roll)
+		b.adopted(roll)
+		for _, sleep := range []time.Duration{0, 500 * time.Millisecond, 500 * time.Millisecond, time.Minute} {
+			time.Sleep(sleep)
+			for i := range 3 {
+				if i < 2 || sleep < time.Minute {
+					b.watched(i, codebook.Watched{State: "serving", Vouch: ballot.Vouch{By: i}, Roll: roll}, time.Now())
+				}
+			}
+		}
+		if b.tend(time.Now()) || !b.since.Equal(time.Now()) {
+			t.Error("a voter counts as silent for the time of a sleep")
+		}
+	})
+}
+
+// A call whose caller goes while its round runs comes to nothing, as does one of which the answers were read long after.
+func TestGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := sea.New(1)
+		p := s.Machine("10.0.0.1", "north").Start()
+		var voters []codebook.Voter
+		var all []*voter
+		var h *Harbour
+		sleeps := false
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for i, ip := range []string{"10.0.0.2", "10.0.0.3", "10.0.0.4"} {
+			v := &voter{acc: ballot.NewAcceptor(), by: i}
+			l, err := s.Machine(ip, "north").Start().Listen(ip+":80", 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			server := signal.Serve(l, func(c signal.Call) {
+				if c.Kind == codebook.Prepare {
+					cancel()
+					if sleeps {
+						h.own.Send(func(*books) { time.Sleep(20 * time.Second) })
+					}
+				}
+				v.handle(c)
+			})
+			defer server.Close()
+			voters, all = append(voters, codebook.Voter{Addr: ip + ":80"}), append(all, v)
+		}
+		var b *books
+		h, b = ashore(t)
+		h.council = council.New(p)
+		defer h.council.Close()
+		h.council.Take(codebook.Roll{Epoch: 1, Voters: voters})
+		h.own = signal.Own(b, 16)
+		defer h.own.End()
+		items := []manifest.Item{{Key: manifest.Key{Kind: manifest.Services, Name: "s"}, Version: 1, Spec: []byte("{}")}}
+		begun := time.Now()
+		if k := plight.Of(h.propose(ctx, ballot.Order{Items: items})); k != plight.CoreOut {
+			t.Error("a call whose caller has gone:", k)
+		}
+		if took := time.Since(begun); took > 10*time.Millisecond {
+			t.Error("it kept the turn from others for", took)
+		}
+		if err := h.tryRound(t.Context(), ballot.Order{Items: items}, time.Now().Add(-20*time.Second)); plight.Of(err) != plight.CoreOut {
+			t.Error("a call from before a sleep:", err)
+		}
+		sleeps = true
+		if k := plight.Of(h.propose(t.Context(), ballot.Order{})); k != plight.CoreOut {
+			t.Error("a read whose answers are of before a sleep:", k)
+		}
+		for _, v := range all {
+			if v.acc.Value.Len() > 0 {
+				t.Error("it is in force")
+			}
+		}
+	})
+}
+
+// A call at a machine that has heard no majority for long is sent elsewhere at once: a round would hold it for most of a second.
+// One that has heard none yet, or one lately, runs its round.
+func TestCutOffAnswersAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		time.Sleep(time.Minute)
+		p := sea.New(1).Machine("10.0.0.1", "north").Start()
+		h, b := ashore(t)
+		h.council = council.New(p)
+		h.council.Take(codebook.Roll{Epoch: 1, Voters: []codebook.Voter{{Addr: "10.0.0.2:80"}, {Addr: "10.0.0.3:80"}, {Addr: "10.0.0.4:80"}}})
+		h.own = signal.Own(b, 16)
+		for _, c := range []struct {
+			name   string
+			silent time.Duration // of two; the third was heard just now
+			held   bool
+		}{{"never heard", -1, true}, {"heard lately", contactMs * time.Millisecond, true}, {"cut off", (contactMs + 1) * time.Millisecond, false}} {
+			h.own.Ask(func(b *books) {
+				b.heard = make([]time.Time, 3)
+				if c.silent >= 0 {
+					now := time.Now()
+					b.heard = []time.Time{now, now.Add(-c.silent), now.Add(-c.silent)}
+				}
+			})
+			begun := time.Now()
+			if k := plight.Of(h.propose(t.Context(), ballot.Order{})); k != plight.CoreOut {
+				t.Errorf("%s: %v", c.name, k)
+			}
+			if took := time.Since(begun); (took > 0) != c.held {
+				t.Errorf("%s: after %v", c.name, took)
+			}
+		}
+		h.council.Close()
+		h.own.End()
+		p.End()
+	})
+}
+
+// Who sees that voters share what is to be borne, and has no lease for the duty yet, looks again soon: by then it has it, or another one.
+func TestDutyForASpreadIsAskedForSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, b := ashore(t)
+		defer h.council.Close()
+		h.o.Lost, h.o.Bears.Zones = 2*time.Second, 1
+		roll := codebook.Roll{Epoch: 2}
+		for i, zone := range []string{"east", "east", "west"} {
+			name := string(rune('a' + i))
+			roll.Voters = append(roll.Voters, codebook.Voter{Name: name, Addr: name + ":1", Zone: zone})
+		}
+		h.council.Take(roll)
+		close(h.ended) // no change is begun
+		time.Sleep(time.Minute)
+		now := time.Now()
+		b.begun, b.since, b.epoch = now.Add(-time.Minute), now.Add(-time.Minute), 2
+		b.heard, b.answered = []time.Time{now, now, now}, []time.Time{now, now, now}
+		lease := &duty.Lease{Members: 3}
+		b.leases = map[duty.Name]*duty.Lease{duty.Roll: lease}
+		lease.Due(time.Since(b.begun)) // asked just now, and nobody has answered
+		if b.tend(now) {
+			t.Error("soon, with nobody who could take a place")
+		}
+		b.masters["d"] = codebook.Master{Name: "d", Addr: "d:1", Zone: "south"}
+		if !b.tend(now) {
+			t.Error("a look later at the earliest")
+		}
+	})
+}
--- /dev/null
+++ b/internal/harbour/end_test.go
@@ -0,0 +1,29 @@
+package harbour
+
+import (
+	"sync"
+	"testing"
+)
+
+// What would begin to run while this one ends is waited for or does not begin.
+func TestNothingBeginsBehindTheEnd(t *testing.T) {
+	for range 2000 {
+		h := &Harbour{ended: make(chan struct{})}
+		var all sync.WaitGroup
+		ran := make(chan struct{}, 8)
+		for range 4 {
+			all.Go(func() {
+				for h.begin(func() { ran <- struct{}{}; <-ran }) {
+				}
+			})
+		}
+		h.mu.Lock()
+		close(h.ended)
+		h.mu.Unlock()
+		h.running.Wait()
+		if len(ran) > 0 {
+			t.Fatal("something runs behind the end")
+		}
+		all.Wait()
+	}
+}
--- a/internal/harbour/harbour.go
+++ b/internal/harbour/harbour.go
@@ -25,6 +25,7 @@
 	"saltmast/internal/masthead"
 	"saltmast/internal/pilot"
 	"saltmast/internal/plight"
+	"saltmast/internal/relief"
 	"saltmast/internal/roster"
 	"saltmast/internal/signal"
 	"saltmast/internal/sock"
@@ -42,10 +43,13 @@
 	Net     sock.Net        // nil: the system's
 	Head    *masthead.Masthead
 	Log     func(event, text string)
-	Lost    time.Duration // a voter that nobody heard for so long is replaced; 0: VoterLost
+	Losses  int              // of voters at once that are to be borne; 0: as many as the roll that was founded bears
+	Lost    time.Duration    // a voter that answers nobody for so long is replaced; 0: VoterLost
+	Bears   relief.Tolerance // zones and regions that are to be borne
 }
 
-// VoterLost is far longer than a restart or an outage that is borne.
+// VoterLost is after how long a voter is replaced that answers and doesn't speak as a member: its disk fails, or it finds nobody
+// to make up from. It is far longer than a repair.
 const VoterLost = 5 * time.Minute
 
 // Counts of what a harbourmaster did.
@@ -64,6 +68,7 @@
 	Counts  Counts
 	ended   chan struct{}
 	running sync.WaitGroup
+	mu      sync.Mutex    // of the end and of what begins to run
 	turning chan struct{} // holds one while a change of the roll runs
 	round   chan struct{} // holds one while a round runs: two from here would only stand in each other's way
 	mending atomic.Bool   // a round that settles what is pending runs, or waits to
@@ -71,41 +76,56 @@
 
 // books are the tables.
 type books struct {
-	h       *Harbour
-	berths  *berths.Table
-	chosen  manifest.Ballot
-	stands  manifest.Set
-	highest manifest.Ballot // of any ballot heard of
-	heard   []time.Time     // by place: when the member last spoke as one
-	pending []time.Time     // by place: since when it holds a value of which nobody knows whether it was chosen; zero: none
-	behind  []int           // by place: answers in a row that it was behind
-	marks   []codebook.Mark // by place: the last that it told
-	masters map[string]codebook.Master
-	sum     uint64                   // of masters
-	lost    map[string]time.Time     // of masters: since when nothing tells that they live
-	pulling map[string]chan struct{} // closed to end it
-	anew    int                      // raised to have all others asked for all they have
-	pullers []*puller
-	begun   time.Time
-	leases  map[duty.Name]*duty.Lease
-	shut    []time.Time     // by place: since when the member is sealed; zero: it is not
-	decree  manifest.Ballot // the highest heard of, of the next roll
-	since   time.Time       // that this roll is watched
-	sought  time.Time       // when another voter was looked for last
+	h        *Harbour
+	berths   *berths.Table
+	chosen   manifest.Ballot
+	stands   manifest.Set
+	pages    ballot.Pages      // of a later one
+	highest  manifest.Ballot   // of any ballot heard of
+	heard    []time.Time       // by place: when the member last spoke as one, at the latest
+	answered []time.Time       // by place: when it last answered, however it stood
+	vouched  []time.Time       // by place: the same, with nothing that is not known here
+	pending  []time.Time       // by place: since when it holds a value of which nobody knows whether it was chosen; zero: none
+	behind   []int             // by place: answers in a row that it was behind
+	upto     []manifest.Ballot // by place: up to which it holds all items, as it told last
+	taught   []bool            // by place: pages are on their way to it from here
+	marks    []codebook.Mark   // by place: the last that it told
+	masters  map[string]codebook.Master
+	sum      uint64                   // of masters
+	lost     map[string]time.Time     // of masters: since when nothing tells that they live
+	pulling  map[string]chan struct{} // closed to end it
+	anew     int                      // raised to have all others asked for all they have
+	asked    map[string]bool          // of pulling: it has told all entries that it had, or can't be reached
+	looked   bool                     // others were looked for since this one began
+	full     bool                     // all of them were asked, or the time for it is over
+	pullers  map[*puller]struct{}
+	telling  bool // those who wait are told, in turns
+	again    bool // and there is news that came meanwhile
+	edition  edition
+	begun    time.Time
+	leases   map[duty.Name]*duty.Lease
+	shut     []time.Time     // by place: since when the member is sealed; zero: it is not
+	decree   manifest.Ballot // the highest heard of, of the next roll
+	since    time.Time       // that this roll is watched
+	epoch    uint64          // of this roll
+	sought   time.Time       // when another voter was looked for last
+	grown    time.Time       // when voters that are wanting were looked for last
 }
 
 type puller struct {
 	c     signal.Call
 	m     codebook.PullCall
+	came  time.Time
 	timer *time.Timer // of its end; nil: it was answered at once
+	waits bool        // for the end of what is Partial
 	done  bool
 }
 
 // Start begins to serve.
 func Start(o Options) *Harbour {
 	h := &Harbour{o: o, council: council.New(o.Net), ended: make(chan struct{}), round: make(chan struct{}, 1), turning: make(chan struct{}, 1)}
-	b := &books{h: h, berths: berths.New(), stands: manifest.Set{}, masters: map[string]codebook.Master{}, lost: map[string]time.Time{},
-		pulling: map[string]chan struct{}{}, begun: time.Now(), leases: map[duty.Name]*duty.Lease{}}
+	b := &books{h: h, berths: berths.New(), masters: map[string]codebook.Master{}, lost: map[string]time.Time{},
+		pulling: map[string]chan struct{}{}, asked: map[string]bool{}, pullers: map[*puller]struct{}{}, begun: time.Now(), leases: map[duty.Name]*duty.Lease{}, stands: manifest.Set{}.Charted()}
 	b.enter(o.Self)
 	h.own = signal.Own(b, 1024)
 	h.port = &pilot.Port{Change: h.change, Configure: h.configure,
@@ -113,19 +133,29 @@
 	h.http = pilot.Server(h.port)
 	go h.http.Serve(o.Control)
 	h.server = signal.Serve(o.Calls, h.handle)
-	h.running.Go(h.enrol)
-	h.running.Go(h.meet)
+	h.begin(h.enrol)
+	h.begin(h.meet)
 	return h
 }
 
-// Close ends it: calls from outside that are under way are answered, within wait.
+// Close ends it: calls from outside and a change of the roll that are under way come to their ends, within wait, and duties are
+// given back: whom a change has sealed by then says nothing until it is finished, and another may do so only once the lease is over.
 func (h *Harbour) Close(wait time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	if h.http.Shutdown(ctx) != nil {
 		h.http.Close()
 	}
+	select {
+	case h.turning <- struct{}{}: // no other begins
+	case <-ctx.Done():
+	}
+	h.mu.Lock()
 	close(h.ended)
+	h.mu.Unlock()
+	if wait > 0 {
+		h.resign()
+	}
 	h.server.Close()
 	h.council.Close()
 	h.running.Wait()
@@ -134,6 +164,17 @@
 	h.own.End()
 }
 
+// begin has f run beside all else, unless this one ends. It reports whether it does.
+func (h *Harbour) begin(f func()) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.over() {
+		return false
+	}
+	h.running.Go(f)
+	return true
+}
+
 func (h *Harbour) over() bool {
 	select {
 	case <-h.ended:
@@ -168,7 +209,7 @@
 // Status tells how it stands.
 func (h *Harbour) Status() (s Status) {
 	h.own.Ask(func(b *books) {
-		s = Status{Chosen: b.chosen, Items: len(b.stands), Berths: b.berths.All(), Roll: h.council.Roll(), FreshMs: b.fresh()}
+		s = Status{Chosen: b.chosen, Items: b.stands.Len(), Berths: b.berths.All(), Roll: h.council.Roll(), FreshMs: b.fresh()}
 		for _, m := range b.masters {
 			s.Masters = append(s.Masters, m)
 		}
@@ -218,23 +259,33 @@
 		if h.council.Roll().Epoch != roll.Epoch {
 			return
 		}
-		n := len(roll.Voters)
-		b.heard, b.pending, b.behind, b.shut = make([]time.Time, n), make([]time.Time, n), make([]int, n), make([]time.Time, n)
-		b.marks = make([]codebook.Mark, n)
-		b.since = time.Now()
-		clear(b.leases)
+		b.adopted(roll)
 		b.wake()
 	})
 	for i := range roll.Voters {
-		h.running.Go(func() { h.watch(i, roll) })
+		h.begin(func() { h.watch(i, roll) })
 	}
 	if roll.Epoch > 1 && roll.Place(h.o.Purser) < 0 {
-		h.running.Go(func() { h.dismiss(roll) })
+		h.begin(func() { h.dismiss(roll) })
 	}
 }
 
+// noRoll is how a purser stands that knows of no roll and founds none: it has lost its disk. Its seeds may tell it nothing.
+const noRoll = "no roll"
+
+// adopted begins to note anew what is noted by place.
+func (b *books) adopted(roll codebook.Roll) {
+	n := len(roll.Voters)
+	b.heard, b.pending, b.behind, b.shut = make([]time.Time, n), make([]time.Time, n), make([]int, n), make([]time.Time, n)
+	b.upto, b.taught, b.vouched = make([]manifest.Ballot, n), make([]bool, n), make([]time.Time, n)
+	b.marks, b.answered = make([]codebook.Mark, n), make([]time.Time, n)
+	b.since, b.epoch = time.Now(), roll.Epoch
+	clear(b.leases)
+}
+
 // watch follows one member.
 func (h *Harbour) watch(place int, roll codebook.Roll) {
+	anew := true // how it stands is to be known at once
 	for !h.over() {
 		c := h.council.Client(place)
 		if c == nil || h.council.Roll().Epoch != roll.Epoch {
@@ -242,28 +293,37 @@
 		}
 		var call codebook.WatchCall
 		h.own.Ask(func(b *books) {
-			call = codebook.WatchCall{Have: b.chosen, HoldMs: uint32(watchHold.Milliseconds()), Epoch: roll.Epoch}
-			if b.chosen.IsZero() { // nothing can be told to anybody yet
+			call = codebook.WatchCall{Have: b.pages.Have(b.chosen), HoldMs: uint32(watchHold.Milliseconds()), Epoch: roll.Epoch, Open: true}
+			if place < len(b.shut) && !b.shut[place].IsZero() { // it is asked again soon whether that goes on
+				call.Open, call.HoldMs = false, uint32(haltTime.Milliseconds())/3
+			}
+			switch {
+			case anew:
+				call.HoldMs = 0
+			case b.chosen.IsZero(), place < len(b.behind) && b.behind[place] > 0: // nothing can be told to anybody yet, or it is to be taught
 				call.HoldMs = uint32(coldHold.Milliseconds())
 			}
 		})
 		var w codebook.Watched
+		asked := time.Now()
 		if err := c.Call(codebook.Watch, call, &w, watchHold+callTime); err != nil {
+			anew = true
 			if !h.pause(100 * time.Millisecond) {
 				return
 			}
 			continue
 		}
+		anew = false
 		if w.Roll.Epoch > roll.Epoch {
 			h.adopt(w.Roll)
 			return
 		}
 		h.own.Ask(func(b *books) {
 			if h.council.Roll().Epoch == roll.Epoch {
-				b.watched(place, w)
+				b.watched(place, w, asked.Add(time.Duration(w.HeldMs)*time.Millisecond))
 			}
 		})
-		if w.Roll.Epoch < roll.Epoch && roll.Epoch > 1 { // it slept through the change
+		if w.Roll.Epoch < roll.Epoch && (roll.Epoch > 1 || w.State == noRoll) { // it slept through the change, or its seeds are all away
 			c.Call(codebook.Relieve, codebook.RelieveCall{Roll: roll}, nil, relieveTime)
 		}
 		if w.State != "serving" && !h.pause(100*time.Millisecond) {
@@ -272,30 +332,58 @@
 	}
 }
 
+// farBehind is how many bytes a member may lack that is not taught at once: it may just not have accepted them yet.
+const farBehind = 64 << 10
+
 // pendingTime is how long a value may be pending before a round is run to settle it.
 const pendingTime = 400 * time.Millisecond
 
-// watched takes what a member told.
-func (b *books) watched(place int, w codebook.Watched) {
+// watched takes what a member told, not before spoke. It may have been read long after: this process may have slept meanwhile.
+func (b *books) watched(place int, w codebook.Watched, spoke time.Time) {
+	if w.Known.Less(w.Chosen) { // a purser from before pages tells all at once
+		w.Known, w.Upto = w.Chosen, w.Chosen
+	}
 	b.raise(w.Promised)
 	b.raise(w.Accepted)
-	b.raise(w.Chosen)
+	b.raise(w.Known)
+	now := time.Now()
+	later := func(at *time.Time) {
+		if spoke.After(*at) {
+			*at = spoke
+		}
+	}
+	b.gap(now) // before this answer ends it
+	later(&b.answered[place])
 	if w.State != "serving" || w.Vouch.By != place {
 		return
 	}
-	now := time.Now()
-	b.heard[place] = now
+	later(&b.heard[place])
 	if place < len(w.Vouch.Incs) {
 		b.marks[place] = codebook.Mark{Epoch: w.Roll.Epoch, Inc: w.Vouch.Incs[place], N: w.Mark}
 	}
 	b.halted(place, w.Shut, now)
-	b.take(w.Chosen, w.Items)
+	b.upto[place] = w.Chosen
+	catches := w.Known != w.Chosen
+	if !catches {
+		b.take(w.Page())
+	}
+	// Of a majority that vouches, nobody is sealed, so that no other epoch had begun; nobody is of another epoch; and nobody has
+	// accepted what is not known here to be chosen, or knows of more: all that was chosen when the first of them spoke is known here.
+	if !w.Shut && w.Roll.Epoch == b.h.council.Roll().Epoch && !b.chosen.Less(w.Accepted) && !b.chosen.Less(w.Known) {
+		later(&b.vouched[place])
+	}
 	switch {
-	case w.Accepted.Less(b.chosen):
-		if b.behind[place]++; b.behind[place] >= 2 && b.may(duty.Teach) {
+	case catches, w.Accepted.Less(b.chosen):
+		b.behind[place]++
+		if (catches || b.behind[place] >= 2 || ballot.Beyond(b.stands, w.Chosen, farBehind)) && b.may(duty.Teach) {
 			b.behind[place] = 0
 			b.teach(place)
 		}
+	case w.Accepted == b.chosen && w.Chosen.Less(b.chosen): // it did not hear that what it accepted was chosen
+		if b.behind[place]++; b.behind[place] >= 2 {
+			b.behind[place] = 0
+			b.h.learn(place, b.chosen)
+		}
 	default:
 		b.behind[place] = 0
 	}
@@ -318,7 +406,7 @@
 	}
 	go func() {
 		defer h.mending.Store(false)
-		h.propose(nil)
+		h.propose(context.Background(), ballot.Order{})
 	}()
 	return true
 }
@@ -329,19 +417,10 @@
 	}
 }
 
-// take takes what was chosen after what is held.
-func (b *books) take(chosen manifest.Ballot, items []manifest.Item) {
-	if !b.chosen.Less(chosen) {
-		return
-	}
-	b.stands = b.stands.Clone()
-	for _, i := range items {
-		if cur, ok := b.stands[i.Key]; !ok || cur.Ballot.Less(i.Ballot) {
-			b.stands[i.Key] = i
-		}
-	}
-	b.chosen = chosen
-	b.wake()
+// take takes a page of what was chosen after what is held.
+func (b *books) take(p ballot.Page) {
+	of, stands := b.pages.Take(p, b.chosen, b.stands)
+	b.whole(of, stands)
 }
 
 // may reports whether a duty is this harbourmaster's, and else asks for it: all of them see what is to be done, and one is
@@ -382,26 +461,65 @@
 	return false
 }
 
-// teach tells a member that missed it what was chosen.
+// resign gives back the duties that this one has.
+func (h *Harbour) resign() {
+	var held []duty.Name
+	h.own.Ask(func(b *books) {
+		for d, l := range b.leases {
+			if l.Holds(time.Since(b.begun)) {
+				held = append(held, d)
+			}
+		}
+		clear(b.leases)
+	})
+	for _, d := range held {
+		give := signal.Encode(codebook.LeaseCall{Duty: d, By: h.o.Life, Give: true})
+		h.council.Gather(codebook.Lease, func(int) []byte { return give }, resignTime, func(council.Told) bool { return false })
+	}
+}
+
+// teach tells a member that missed it what was chosen, in pages. While they come, others may teach it as well.
 func (b *books) teach(place int) {
-	c := b.h.council.Client(place)
-	if c == nil {
+	h, c := b.h, b.h.council.Client(place)
+	if c == nil || b.taught[place] || b.chosen.IsZero() || h.over() {
 		return
 	}
-	b.h.Counts.Taught.Add(1)
-	m := codebook.AcceptCall{B: b.chosen, Epoch: b.h.council.Roll().Epoch, Chosen: true}
-	for _, i := range b.stands {
-		m.Changes = append(m.Changes, i)
+	h.Counts.Taught.Add(1)
+	taught := b.taught
+	taught[place] = true
+	of, value, from, epoch := b.chosen, b.stands, b.upto[place], h.council.Roll().Epoch
+	h.begin(func() {
+		for turns := 0; from.Less(of) && turns < maxTurns && !h.over(); turns++ {
+			p := ballot.PageOf(value, of, from)
+			var a codebook.Accepted
+			if c.Call(codebook.Turn, codebook.TurnCall{Page: p, Epoch: epoch}, &a, phaseTime) != nil || !a.Accepted.Less(of) || a.Chosen == from {
+				break
+			}
+			from = a.Chosen
+		}
+		h.own.Send(func(*books) { taught[place] = false })
+	})
+}
+
+// maxTurns bounds the pages of one teaching.
+const maxTurns = 10000
+
+// learn tells a member that what it accepted was chosen.
+func (h *Harbour) learn(place int, of manifest.Ballot) {
+	if c := h.council.Client(place); c != nil {
+		c.Go(codebook.Learn, signal.Encode(codebook.LearnCall{B: of}), func([]byte, error) {})
 	}
-	c.Go(codebook.Accept, signal.Encode(m), func([]byte, error) {})
 }
 
-// fresh is how many milliseconds ago a majority was heard last.
-func (b *books) fresh() uint32 {
-	if len(b.heard) == 0 {
+// fresh is how many milliseconds ago, at the most, all that was chosen was known here: a majority vouched for that.
+func (b *books) fresh() uint32 { return majorityMs(b.vouched) }
+
+// majorityMs is how many milliseconds ago a majority of the members did what is noted by place.
+func majorityMs(of []time.Time) uint32 {
+	if len(of) == 0 {
 		return codebook.Never
 	}
-	at := slices.Clone(b.heard)
+	at := slices.Clone(of)
 	slices.SortFunc(at, func(x, y time.Time) int { return y.Compare(x) })
 	t := at[ballot.Majority(len(at))-1]
 	if t.IsZero() {
@@ -459,12 +577,12 @@
 		b.h.o.Head.Heard(m.Master.Addr)
 		b.meet(*m.Master)
 	}
-	p := &puller{c: c, m: m}
+	p := &puller{c: c, m: m, came: time.Now(), waits: m.Master == nil && !b.full}
 	if m.HoldMs == 0 || b.hasNews(p) {
 		b.answer(p)
 		return
 	}
-	b.pullers = append(b.pullers, p)
+	b.pullers[p] = struct{}{}
 	p.timer = time.AfterFunc(time.Duration(min(m.HoldMs, 5000))*time.Millisecond, func() {
 		b.h.own.Send(func(b *books) { b.answer(p) })
 	})
@@ -472,19 +590,13 @@
 
 func (b *books) hasNews(p *puller) bool {
 	return p.m.Life != b.h.o.Life || p.m.At != b.berths.At() || p.m.Have.Less(b.chosen) ||
-		p.m.Epoch < b.h.council.Roll().Epoch || p.m.Sum != b.sum
+		p.m.Epoch < b.h.council.Roll().Epoch || p.m.Sum != b.sum || p.waits && b.full
 }
 
 func (b *books) news(m codebook.PullCall) codebook.News {
-	n := codebook.News{Life: b.h.o.Life, At: b.berths.At(), Chosen: b.chosen, FreshMs: b.fresh(), Sum: b.sum}
-	at := m.At
-	if m.Life != n.Life {
-		at = 0
-	}
-	n.Berths = b.berths.Since(at)
-	if m.Have.Less(b.chosen) {
-		n.Items = ballot.Since(b.stands, m.Have)
-	}
+	n := codebook.News{Life: b.h.o.Life, FreshMs: b.fresh(), Sum: b.sum, Partial: !b.full}
+	n.Tell(m, b.berths, b.chosen, b.stands, manifest.Ballot{})
+	n.Items = manifest.Plain(n.Items)
 	if r := b.h.council.Roll(); r.Epoch > m.Epoch {
 		n.Roll = &r
 	}
@@ -504,23 +616,109 @@
 	if p.timer != nil {
 		p.timer.Stop()
 	}
-	b.pullers = slices.DeleteFunc(b.pullers, func(o *puller) bool { return o == p })
-	n := b.news(p.m)
-	if len(n.Berths)+len(n.Items) > 0 {
+	delete(b.pullers, p)
+	a := b.print(p.m, time.Since(p.came))
+	if a.some {
 		b.h.Counts.News.Add(1)
 	}
-	p.c.Reply(n, nil)
+	p.c.Reply(a.body, nil)
+}
+
+// edition is the answers of one moment, each encoded once for all who lack the same.
+type edition struct {
+	at      time.Time
+	of      lack // what nobody lacks who has all
+	answers map[lack]printed
+	bytes   int
+}
+
+// lack is what an answer hangs on, beside the moment.
+type lack struct {
+	at     uint64
+	have   manifest.Ballot
+	cursor codebook.Cursor
+	epoch  uint64
+	sum    uint64
+	held   time.Duration
+	full   bool
+}
+
+type printed struct {
+	body signal.Encoded
+	some bool // it has entries or items
+}
+
+const (
+	editionTime  = 50 * time.Millisecond // for so long one serves, and so much older than what it says no news is
+	editionBytes = 4 << 20               // that are kept
+	answerBytes  = 256                   // of one, beside its body
+)
+
+// print is the answer to a call that was held. Its times are bounds: it may be older than it is by an editionTime, and held for less.
+func (b *books) print(m codebook.PullCall, held time.Duration) printed {
+	now, of := time.Now(), lack{at: b.berths.At(), have: b.chosen, epoch: b.h.council.Roll().Epoch, sum: b.sum, full: b.full}
+	if e := &b.edition; e.of != of || now.Sub(e.at) >= editionTime || e.bytes > editionBytes {
+		*e = edition{at: now, of: of, answers: map[lack]printed{}}
+	}
+	l := lack{at: m.At, have: m.Have, epoch: m.Epoch, sum: m.Sum, held: held.Truncate(editionTime)}
+	if m.Life != b.h.o.Life && m.At != codebook.Tells {
+		l.at = 0
+	} else if m.Cursor != nil {
+		l.cursor = *m.Cursor
+	}
+	a, ok := b.edition.answers[l]
+	if !ok {
+		n := b.news(m)
+		n.FreshMs = min(n.FreshMs+uint32(editionTime.Milliseconds()), codebook.Never)
+		n.HeldMs = uint32(l.held.Milliseconds())
+		a = printed{signal.Encode(n), len(n.Berths)+len(n.Items) > 0}
+		b.edition.answers[l] = a
+		b.edition.bytes += len(a.body) + answerBytes
+	}
+	return a
 }
 
+// tellBatch is how many are answered in one command of the owner: calls, watches and rounds get their turns in between.
+const tellBatch = 64
+
 // wake answers those for whom there is news.
 func (b *books) wake() {
-	for _, p := range slices.Clone(b.pullers) {
-		if b.hasNews(p) {
+	switch {
+	case len(b.pullers) <= tellBatch:
+		b.tell(slices.Collect(maps.Keys(b.pullers)))
+	case b.telling:
+		b.again = true
+	default:
+		b.telling = b.h.begin(b.h.tell)
+	}
+}
+
+func (b *books) tell(some []*puller) {
+	for _, p := range some {
+		if !p.done && b.hasNews(p) {
 			b.answer(p)
 		}
 	}
 }
 
+// tell answers all who wait and for whom there is news, in turns, until there is no more of it.
+func (h *Harbour) tell() {
+	var all []*puller
+	for more := true; more; {
+		more = false // also where the owner has ended
+		h.own.Ask(func(b *books) {
+			if len(all) == 0 {
+				b.again, all = false, slices.Collect(maps.Keys(b.pullers))
+			}
+			n := min(tellBatch, len(all))
+			b.tell(all[:n])
+			all = all[n:]
+			more = len(all) > 0 || b.again
+			b.telling = more
+		})
+	}
+}
+
 // ---- Other harbourmasters ----
 
 // maxMasters bounds those that are known.
@@ -561,9 +759,15 @@
 	}
 	end := make(chan struct{})
 	b.pulling[addr] = end
-	b.h.running.Go(func() { b.h.follow(addr, end) })
+	delete(b.asked, addr)
+	b.h.begin(func() { b.h.follow(addr, end) })
 }
 
+const (
+	lookEvery = time.Second
+	lookSoon  = 200 * time.Millisecond // while a voter is silent
+)
+
 // sweepEvery is after how many looks what is long gone is dropped.
 const sweepEvery = 10
 
@@ -575,7 +779,8 @@
 		for _, s := range h.o.Seeds() {
 			seeds = append(seeds, codebook.Beside(s, h.o.First, codebook.HarbourPort))
 		}
-		h.own.Send(func(b *books) {
+		soon := false
+		h.own.Ask(func(b *books) {
 			for _, a := range seeds {
 				b.follow(a)
 			}
@@ -584,13 +789,24 @@
 					b.meet(codebook.Master{Name: p.Node, Addr: p.Addr, Zone: p.Zone})
 				}
 			}
-			b.tend(time.Now())
+			b.fill(true)
+			soon = b.tend(time.Now())
 			if look%sweepEvery == 0 {
 				b.sweep(time.Now(), time.Since(begun), seeds)
 			}
 		})
-		if !h.pause(time.Second) {
-			return
+		for end := time.Now().Add(lookEvery * 3 / 4); ; { // drawn: those that ask for a duty at one moment split it
+			wait := time.Until(end) + rand.N(lookEvery/4)
+			if soon {
+				wait = lookSoon*3/4 + rand.N(lookSoon/2)
+			}
+			if !h.pause(wait) {
+				return
+			}
+			if !soon || time.Now().After(end) {
+				break
+			}
+			h.own.Ask(func(b *books) { soon = b.tend(time.Now()) })
 		}
 	}
 }
@@ -602,7 +818,7 @@
 	if b.berths.Lacks(head.Alive(codebook.RoleTug)) {
 		b.anew++
 	}
-	if head.Alone() || b.fresh() > 3000 {
+	if head.Alone() || b.fresh() > contactMs {
 		clear(b.lost)
 		return
 	}
@@ -638,6 +854,31 @@
 	}
 }
 
+// heardOut notes that another one has told all entries that it has.
+func (b *books) heardOut(addr string) {
+	b.asked[addr] = true
+	b.fill(false)
+}
+
+// fillTime is how long a harbourmaster that begins may wait for what others know of backends.
+const fillTime = 2 * time.Second
+
+// fill looks whether all others that are known have told their entries since this one began: until then nobody becomes ready by it.
+// One that can't be reached has nothing to tell; of those that all begin at once, each tells what it has. looked: others were looked for.
+func (b *books) fill(looked bool) {
+	if b.full {
+		return
+	}
+	b.looked = b.looked || looked
+	full := b.looked
+	for addr := range b.pulling {
+		full = full && b.asked[addr]
+	}
+	if b.full = full || time.Since(b.begun) >= fillTime; b.full {
+		b.wake()
+	}
+}
+
 // follow pulls the berths of another harbourmaster, until end is closed.
 func (h *Harbour) follow(addr string, end chan struct{}) {
 	c := signal.NewClient(h.o.Net, addr)
@@ -658,6 +899,9 @@
 		call.Epoch = h.council.Roll().Epoch
 		var n codebook.News
 		if err := c.Call(codebook.Pull, call, &n, pullHold+callTime); err != nil {
+			if plight.Of(err) == plight.Away {
+				h.own.Ask(func(b *books) { b.heardOut(addr) })
+			}
 			wait := 250 * time.Millisecond
 			if s := h.o.Head.State(addr); s == roster.Dead || s == roster.Left {
 				wait = time.Second
@@ -680,6 +924,9 @@
 			for _, m := range n.Masters {
 				b.hearsay(m)
 			}
+			if !n.More {
+				b.heardOut(addr)
+			}
 			if changed {
 				b.wake()
 			}
@@ -692,10 +939,11 @@
 const (
 	changeTime = 850 * time.Millisecond // callers take a second of silence for a failure
 	phaseTime  = 350 * time.Millisecond
+	resignTime = 100 * time.Millisecond
 )
 
 // change takes one call.
-func (h *Harbour) change(body []byte) error {
+func (h *Harbour) change(ctx context.Context, body []byte) error {
 	h.Counts.Changes.Add(1)
 	call, err := manifest.DecodeCall(body)
 	if err != nil {
@@ -704,7 +952,12 @@
 	if err := call.Check(); err != nil {
 		return plight.New(plight.Invalid, "%w", err)
 	}
-	err = h.propose(call.Items)
+	if !ballot.Fits(call.Items) {
+		return plight.New(plight.BodyTooLong, "%d items, which are over %d bytes", len(call.Items), ballot.DeltaMax)
+	}
+	var o ballot.Order
+	h.own.Ask(func(b *books) { o = ballot.NewOrder(call.Items, b.stands) })
+	err = h.propose(ctx, o)
 	h.o.Log("change", fmt.Sprintf("%d items: %v", len(call.Items), outcome(err)))
 	return err
 }
@@ -717,8 +970,8 @@
 }
 
 // configure reads what stands: what a majority says, and a round where that is in doubt.
-func (h *Harbour) configure() ([]byte, error) {
-	if err := h.propose(nil); err != nil {
+func (h *Harbour) configure(ctx context.Context) ([]byte, error) {
+	if err := h.propose(ctx, ballot.Order{}); err != nil {
 		return nil, err
 	}
 	var s manifest.Set
@@ -726,21 +979,28 @@
 	return s.Encode(), nil
 }
 
-// propose runs rounds until the items are chosen, or stand already, or can't be.
-func (h *Harbour) propose(items []manifest.Item) error {
+// propose runs rounds until the order is chosen, or was already, or can't be. It ends when its sender has gone: who has no
+// answer sends it again, and a copy that is left behind may only come where it is wanted no more.
+func (h *Harbour) propose(ctx context.Context, order ballot.Order) error {
 	end := time.Now().Add(changeTime)
 	if !h.turn(end) {
 		return plight.New(plight.Preempted, "by other calls here")
 	}
 	defer func() { <-h.round }()
 	for {
-		err := h.tryRound(items, end)
+		err := h.tryRound(ctx, order, end)
+		if err == errLate || time.Since(end) > lateTime { // or this process slept: what it heard tells nothing of what stands now
+			return errLate
+		}
+		if err == errCutOff {
+			return err
+		}
 		if k := plight.Of(err); k != plight.Preempted && k != plight.CoreOut {
 			return err
 		}
 		h.Counts.Preempted.Add(1)
 		wait := 5*time.Millisecond + rand.N(50*time.Millisecond)
-		if time.Now().Add(wait + 20*time.Millisecond).After(end) {
+		if ctx.Err() != nil || time.Now().Add(wait+20*time.Millisecond).After(end) {
 			return err
 		}
 		if !h.pause(wait) {
@@ -763,74 +1023,146 @@
 }
 
 // tryRound runs one round.
-func (h *Harbour) tryRound(items []manifest.Item, end time.Time) error {
+func (h *Harbour) tryRound(ctx context.Context, order ballot.Order, end time.Time) error {
+	if given(ctx, end) {
+		return errLate
+	}
 	h.Counts.Rounds.Add(1)
 	roll := h.council.Roll()
 	n := len(roll.Voters)
 	if n == 0 {
 		return plight.New(plight.CoreOut, "nobody known that counts")
 	}
+	if time.Until(end) < leastTime {
+		return plight.New(plight.CoreOut, "no time is left")
+	}
+	var silent uint32
 	var b manifest.Ballot
+	r := ballot.Round{Voters: n}
 	h.own.Ask(func(t *books) {
 		b = manifest.Ballot{N: t.highest.N + 1, By: uint32(h.o.Life)}
 		t.raise(b)
+		r.Have, r.Held = t.chosen, t.stands
+		silent = majorityMs(t.heard)
 	})
-	r := ballot.Round{Voters: n}
+	if silent > contactMs && silent != codebook.Never { // its caller is to go on at once: a round would hold it to the end
+		return errCutOff
+	}
 	var base manifest.Set
 	var of manifest.Ballot
 	var stands, ok bool
-	at := make(map[int]manifest.Ballot, n) // what each that promised has accepted
-	prepare := signal.Encode(codebook.PrepareCall{B: b, Epoch: roll.Epoch})
-	gone := 0
+	at := make(map[int]ballot.Promise, n) // of each that promised, without items
+	prepare := signal.Encode(codebook.PrepareCall{B: b, Epoch: roll.Epoch, Have: r.Have})
+	ph := phase{voters: n}
 	err := h.council.Gather(codebook.Prepare, func(int) []byte { return prepare }, min(phaseTime, time.Until(end)), func(t council.Told) bool {
 		var p ballot.Promise
 		if t.Err != nil || signal.Decode(t.Body, &p) != nil {
-			return gonePast(t.Err, &gone, n)
+			return ph.failed(t.Err)
 		}
 		r.Add(p)
-		at[t.Place] = p.Accepted
+		if !p.Given {
+			return ph.refused()
+		}
+		p.Items = nil
+		at[t.Place] = p
 		base, of, stands, ok = r.Base()
 		return ok
 	})
 	if b.Less(r.Higher) {
 		h.own.Ask(func(t *books) { t.raise(r.Higher) })
 	}
-	if !ok {
-		if b.Less(r.Higher) {
-			return plight.New(plight.Preempted, "")
-		}
+	switch {
+	case ok:
+	case r.Short != "":
+		return plight.New(plight.CoreOut, "%s", r.Short)
+	case b.Less(r.Higher):
+		return plight.New(plight.Preempted, "")
+	default:
 		return outOr(err)
 	}
-	o := ballot.Apply(base, items, b)
-	var refused error
-	switch {
-	case o.Against != nil:
-		refused = plight.New(plight.Conflict, "%s", o.Against)
-	case len(o.Changes) > 0:
-		// A base that is invalid already, of two calls at once that were valid each, holds up nobody else's call.
-		if err := o.Next.Check(); err != nil && base.Check() == nil {
-			refused = plight.New(plight.Invalid, "%w", err)
-		}
+	// An order may come long after it was sent, when a cut or a sleep is over: its sender has given it up, and others may have
+	// refused it since. What the caller's end of the connection tells has come by now.
+	if given(ctx, end) {
+		return errLate
 	}
-	if refused != nil { // what it is refused for is to stand: else a value that a round before has left may come into force after all
-		o.Next, o.Changes = base, nil
+	if stands {
+		h.own.Ask(func(t *books) { t.whole(of, base) })
 	}
-	if !(stands && len(o.Changes) == 0) {
-		if err := h.settle(b, of, o, at, roll, end); err != nil {
+	o := order.Lay(base, b, func(next manifest.Set) error {
+		// A base that is invalid already, of two calls at once that were valid each, holds up nobody else's call.
+		if err := next.Check(); err != nil && base.Check() == nil {
 			return err
 		}
-	} else {
-		h.own.Ask(func(t *books) { t.whole(of, base) })
+		return nil
+	})
+	if stands && len(o.Changes) == 0 {
+		return told(o)
+	}
+	first := false // what a round before has left goes first: both at once are more than a member keeps beside its base
+	if !stands && len(o.Changes) > 0 && ballot.Beyond(o.Next, r.Have, ballot.DeltaMax) {
+		first, o.Next = true, base
+	}
+	if err := h.settle(b, of, stands && !first, o.Next, at, roll, end); err != nil {
+		return err
+	}
+	if first {
+		return plight.New(plight.Preempted, "by what was left")
+	}
+	return told(o)
+}
+
+// told is the answer to an order once what its outcome proposes was chosen: until then a refusal would be a guess.
+func told(o ballot.Outcome) error {
+	switch o.Verdict {
+	case ballot.Conflicts:
+		return plight.New(plight.Conflict, "%s", o.At)
+	case ballot.Invalid:
+		return plight.New(plight.Invalid, "%w", o.Why)
+	case ballot.Unclear:
+		return plight.New(plight.Unsure, "%s", o.At)
 	}
-	return refused
+	return nil
+}
+
+// given reports whether a call was given up by its caller, or by the time that it has.
+func given(ctx context.Context, end time.Time) bool {
+	return ctx.Err() != nil || !time.Now().Before(end)
 }
 
-// gonePast counts the members whose epoch has ended, and reports whether a majority of n is past hope.
-func gonePast(err error, gone *int, n int) bool {
+// lateTime is how much later than its end a round may have been answered.
+const lateTime = 100 * time.Millisecond
+
+var errCutOff = plight.New(plight.CoreOut, "no majority heard for 3 s")
+
+var errLate = plight.New(plight.CoreOut, "its time is over, or its caller has gone")
+
+// leastTime is what a round is begun for at least.
+const leastTime = 10 * time.Millisecond
+
+// phase counts which members won't give what a phase of a round asks. It is over once no majority can give it any more, by members whose
+// epoch has ended, or by some that have promised a higher ballot: to wait on for one that is silent would only hold up the next
+// round. Members that can't be reached end it only beside such an answer, as nothing is learnt from them that a round begun anew could use.
+type phase struct{ voters, out, gone, higher int }
+
+func (p *phase) over() bool {
+	most := p.voters - ballot.Majority(p.voters)
+	return p.gone > most || p.higher > 0 && p.out > most
+}
+
+// failed counts a member that gave no answer but an error, and reports whether the phase is over.
+func (p *phase) failed(err error) bool {
+	p.out++
 	if plight.Of(err) == plight.Gone {
-		*gone++
+		p.gone++
 	}
-	return *gone > n-ballot.Majority(n)
+	return p.over()
+}
+
+// refused counts a member that has promised a higher ballot, or lacks what it is asked to go on from.
+func (p *phase) refused() bool {
+	p.out++
+	p.higher++
+	return p.over()
 }
 
 func outOr(err error) error {
@@ -840,38 +1172,71 @@
 	return err
 }
 
-// settle has a value accepted by a majority, and takes it.
-func (h *Harbour) settle(b, of manifest.Ballot, o ballot.Outcome, at map[int]manifest.Ballot, roll codebook.Roll, end time.Time) error {
-	whole := codebook.AcceptCall{B: b, Epoch: roll.Epoch}
-	for _, i := range o.Next {
-		whole.Changes = append(whole.Changes, i)
+// settle has a value accepted by a majority, and takes it. Each member is told what it lacks, as far as is known here; one that
+// lacks more than it keeps beside its base is taught first, and counts for nothing. stands: the value of ballot of is chosen.
+func (h *Harbour) settle(b, of manifest.Ballot, stands bool, next manifest.Set, at map[int]ballot.Promise, roll codebook.Roll, end time.Time) error {
+	n := len(roll.Voters)
+	holds := make([]manifest.Ballot, n)
+	h.own.Ask(func(t *books) { copy(holds, t.upto) })
+	bodies := map[manifest.Ballot][]byte{}
+	var lag []int
+	for i := range holds {
+		if p, ok := at[i]; ok {
+			if holds[i] = p.Chosen; stands && p.Accepted == of && p.Chosen.Less(of) {
+				h.learn(i, of) // it comes before what is to be accepted
+				holds[i] = of
+			}
+		}
+		if _, ok := bodies[holds[i]]; ok {
+			continue
+		}
+		bodies[holds[i]] = nil
+		if !ballot.Beyond(next, holds[i], ballot.DeltaMax) {
+			bodies[holds[i]] = signal.Encode(codebook.AcceptCall{B: b, Base: holds[i], Changes: ballot.Since(next, holds[i]), Epoch: roll.Epoch})
+		}
+	}
+	for i := range holds {
+		if bodies[holds[i]] == nil {
+			lag = append(lag, i)
+		}
+	}
+	able := len(at)
+	for _, i := range lag {
+		if _, ok := at[i]; ok {
+			able--
+		}
+	}
+	if able < ballot.Majority(n) { // of those that answer; whoever else lags is found out by its watch
+		h.own.Ask(func(t *books) {
+			for _, i := range lag {
+				if _, ok := at[i]; ok && h.council.Roll().Epoch == roll.Epoch {
+					t.upto[i] = holds[i]
+					t.teach(i)
+				}
+			}
+		})
 	}
-	all := signal.Encode(whole)
-	part := all
-	if !of.IsZero() {
-		part = signal.Encode(codebook.AcceptCall{B: b, Base: of, Changes: o.Changes, Epoch: roll.Epoch})
+	if n-len(lag) < ballot.Majority(n) {
+		return plight.New(plight.CoreOut, "%d of %d catch up", len(lag), n)
 	}
 	var vs []ballot.Vouch
 	var higher manifest.Ballot
-	taken, gone := false, 0
+	taken, ph := false, phase{voters: n}
 	err := h.council.Gather(codebook.Accept, func(place int) []byte {
-		if acc, ok := at[place]; ok && acc == of {
-			return part
-		}
-		return all
+		return bodies[holds[place]]
 	}, min(phaseTime, time.Until(end)), func(t council.Told) bool {
 		var a codebook.Accepted
 		if t.Err != nil || signal.Decode(t.Body, &a) != nil {
-			return gonePast(t.Err, &gone, len(roll.Voters))
+			return ph.failed(t.Err)
 		}
 		if !a.Taken {
 			if higher.Less(a.Promised) {
 				higher = a.Promised
 			}
-			return false
+			return ph.refused()
 		}
 		vs = append(vs, a.Vouch)
-		taken = len(ballot.Sound(vs)) >= ballot.Majority(len(roll.Voters))
+		taken = len(ballot.Sound(vs)) >= ballot.Majority(n)
 		return taken
 	})
 	if !taken {
@@ -879,14 +1244,14 @@
 			h.own.Ask(func(t *books) { t.raise(higher) })
 			return plight.New(plight.Preempted, "")
 		}
+		if err == nil && ph.higher > 0 {
+			return plight.New(plight.Preempted, "by what a member lacks")
+		}
 		return outOr(err)
 	}
-	h.own.Ask(func(t *books) { t.whole(b, o.Next) })
-	learn := signal.Encode(codebook.LearnCall{B: b})
+	h.own.Ask(func(t *books) { t.whole(b, next) })
 	for i := range roll.Voters {
-		if c := h.council.Client(i); c != nil {
-			c.Go(codebook.Learn, learn, func([]byte, error) {})
-		}
+		h.learn(i, b)
 	}
 	return nil
 }
--- a/internal/harbour/harbour_test.go
+++ b/internal/harbour/harbour_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -20,11 +19,11 @@
 )
 
 // ashore is a harbour without goroutines, sockets or members.
-func ashore(t *testing.T) (*Harbour, *books) {
+func ashore(t testing.TB) (*Harbour, *books) {
 	h := &Harbour{o: Options{Life: 1, Log: func(event, text string) { t.Log(event, text) }}, council: council.New(nil),
 		ended: make(chan struct{}), round: make(chan struct{}, 1)}
-	return h, &books{h: h, berths: berths.New(), stands: manifest.Set{}, masters: map[string]codebook.Master{}, lost: map[string]time.Time{},
-		pulling: map[string]chan struct{}{}}
+	return h, &books{h: h, berths: berths.New(), masters: map[string]codebook.Master{}, lost: map[string]time.Time{},
+		pulling: map[string]chan struct{}{}, asked: map[string]bool{}, pullers: map[*puller]struct{}{}}
 }
 
 // A puller waits unless there is something that it lacks: one that knows more than is known here is not answered at once,
@@ -59,12 +58,12 @@
 func TestRoundsInTurn(t *testing.T) {
 	h, b := ashore(t)
 	b.heard, b.pending, b.behind, b.shut = make([]time.Time, 3), make([]time.Time, 3), make([]int, 3), make([]time.Time, 3)
-	b.marks = make([]codebook.Mark, 3)
+	b.marks, b.vouched, b.upto, b.taught, b.answered = make([]codebook.Mark, 3), make([]time.Time, 3), make([]manifest.Ballot, 3), make([]bool, 3), make([]time.Time, 3)
 	h.round <- struct{}{} // a round that takes long
 	long := time.Now().Add(-time.Minute)
 	for i := range 30 {
 		b.pending[i%3] = long
-		b.watched(i%3, codebook.Watched{State: "serving", Vouch: ballot.Vouch{By: i % 3}, Accepted: manifest.Ballot{N: 1}})
+		b.watched(i%3, codebook.Watched{State: "serving", Vouch: ballot.Vouch{By: i % 3}, Accepted: manifest.Ballot{N: 1}}, time.Now())
 	}
 	if h.mend() {
 		t.Error("another that settles was begun")
@@ -85,6 +84,9 @@
 	acc  *ballot.Acceptor
 	by   int
 	mute bool
+	most int // bytes of a call that told items
+
+	overtaken int // by another's higher ballot, ahead of so many accepts
 }
 
 func (v *voter) handle(c signal.Call) {
@@ -93,18 +95,36 @@
 	vouch := ballot.Vouch{By: v.by, Incs: []uint64{1, 1, 1}}
 	var p codebook.PrepareCall
 	var a codebook.AcceptCall
+	var l codebook.LearnCall
+	var turn codebook.TurnCall
 	switch {
 	case v.mute:
 	case c.Kind == codebook.Prepare && signal.Decode(c.Body, &p) == nil:
-		m := ballot.Promise{Vouch: vouch, Given: v.acc.Prepare(p.B), Promised: v.acc.Promised, Accepted: v.acc.Accepted}
-		m.Items = slices.Collect(maps.Values(v.acc.Value))
-		c.Reply(m, nil)
+		if v.acc.Prepare(p.B) {
+			c.Reply(v.acc.Promise(vouch, p.Have), nil)
+		} else {
+			c.Reply(ballot.Promise{Vouch: vouch, Promised: v.acc.Promised, Accepted: v.acc.Accepted}, nil)
+		}
 	case c.Kind == codebook.Accept && signal.Decode(c.Body, &a) == nil:
+		if v.overtaken > 0 {
+			v.overtaken--
+			v.acc.Prepare(manifest.Ballot{N: a.B.N + 10, By: 9})
+		}
 		taken := v.acc.May(a.B, a.Base)
 		if taken {
-			v.acc.Accept(a.B, v.acc.Next(a.Changes, a.Base.IsZero()))
+			v.acc.Accept(a.B, v.acc.Delta(a.Changes))
 		}
+		v.most = max(v.most, len(c.Body))
 		c.Reply(codebook.Accepted{Vouch: vouch, Taken: taken, Promised: v.acc.Promised, Accepted: v.acc.Accepted}, nil)
+	case c.Kind == codebook.Learn && signal.Decode(c.Body, &l) == nil:
+		v.acc.Learn(l.B)
+	case c.Kind == codebook.Turn && signal.Decode(c.Body, &turn) == nil:
+		v.most = max(v.most, len(c.Body))
+		taken := v.acc.Turns(turn.Page)
+		if taken {
+			v.acc.Turn(turn.Page)
+		}
+		c.Reply(codebook.Accepted{Vouch: vouch, Taken: taken, Promised: v.acc.Promised, Accepted: v.acc.Accepted, Chosen: v.acc.Chosen}, nil)
 	}
 }
 
@@ -132,7 +152,7 @@
 		}
 		base := manifest.Set{}
 		for _, i := range call(5, `{"resource-kind":"services","metadata":{"name":"s","version":"r1"},"specification":{}}`) {
-			base.Join(i)
+			base, _ = base.Join(i)
 		}
 		ours, theirs := call(6, route("ours")), call(7, route("theirs"))
 		h, b := ashore(t)
@@ -149,24 +169,24 @@
 				t.Fatal(err)
 			}
 			v := &voter{acc: ballot.NewAcceptor(), by: n}
-			v.acc.Accept(ballotOf(5), base)
+			v.acc.Accept(ballotOf(5), slices.Collect(base.All()))
 			if left != nil {
-				v.acc.Accept(left[0].Ballot, v.acc.Next(left, false))
+				v.acc.Accept(left[0].Ballot, slices.Collect(v.acc.Value.With(left...).All()))
 			}
 			voters, servers = append(voters, v), append(servers, signal.Serve(l, v.handle))
 			roll.Voters = append(roll.Voters, codebook.Voter{Addr: addr})
 		}
 		h.council.Take(roll)
 		voters[0].mute = true
-		if k := plight.Of(h.propose(ours)); k != plight.Invalid {
+		if k := plight.Of(h.propose(t.Context(), ballot.NewOrder(ours, manifest.Set{}))); k != plight.Invalid {
 			t.Errorf("beside theirs: %v", k)
 		}
 		voters[0].mute, voters[1].mute = false, true
-		if err := h.propose(nil); err != nil {
+		if err := h.propose(t.Context(), ballot.Order{}); err != nil {
 			t.Error(err)
 		}
 		h.own.Ask(func(b *books) {
-			if _, ok := b.stands[ours[0].Key]; ok {
+			if _, ok := b.stands.Get(ours[0].Key); ok {
 				t.Error("what was refused is in force")
 			}
 		})
--- /dev/null
+++ b/internal/harbour/lag_test.go
@@ -0,0 +1,186 @@
+package harbour
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"saltmast/internal/ballot"
+	"saltmast/internal/codebook"
+	"saltmast/internal/council"
+	"saltmast/internal/drydock/sea"
+	"saltmast/internal/duty"
+	"saltmast/internal/manifest"
+	"saltmast/internal/plight"
+	"saltmast/internal/signal"
+)
+
+// A member that lacks more than it can be told at once counts for nothing, until it has been taught in pages, which a
+// round that needs it begins at once, with another one lost. No message is larger than a page or a delta, and a proposer that holds nothing yet says so rather than go on from a part.
+func TestMemberThatLacksMuch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := sea.New(1)
+		p := s.Machine("10.0.0.1", "north").Start()
+		service := manifest.Item{Key: manifest.Key{Kind: manifest.Services, Name: "s"}, Version: 1, Ballot: manifest.Ballot{N: 1, By: 9}, Spec: []byte("{}")}
+		stands := manifest.SetOf(service)
+		last := manifest.Ballot{N: 3001, By: 9}
+		for n := range uint64(3000) {
+			spec := fmt.Sprintf(`{"host":"h","path-prefix":"/%d/%s/","route-kind":"idempotent","deadline-s":1,"target-s":1,"service":"s","max-attempts":1}`, n, strings.Repeat("x", 900))
+			stands = stands.With(manifest.Item{Key: manifest.Key{Kind: manifest.Routes, Name: fmt.Sprint("r", n)}, Version: 1,
+				Ballot: manifest.Ballot{N: n + 2, By: 9}, Spec: []byte(spec)})
+		}
+		h, voters, end := crewed(t, p, func(v *voter) {
+			if v.by < 2 {
+				v.acc.Accept(last, slices.Collect(stands.All()))
+				v.acc.Learn(last)
+			}
+		})
+		h.own.Ask(func(b *books) { b.raise(last) })
+		change := func(version manifest.Version) error {
+			i := service
+			i.Version, i.Ballot = version, manifest.Ballot{}
+			return h.propose(t.Context(), ballot.Order{Items: []manifest.Item{i}})
+		}
+		if err := change(2); plight.Of(err) != plight.CoreOut || !strings.Contains(err.Error(), "not read yet") {
+			t.Errorf("with nothing held: %v", err)
+		}
+		h.own.Ask(func(b *books) {
+			b.whole(last, stands)
+			b.upto[0], b.upto[1] = last, last // as they were watched
+		})
+		if err := change(3); err != nil {
+			t.Error(err)
+		}
+		if voters[2].acc.Accepted.N > 0 || voters[2].acc.Stands.Len() > 0 {
+			t.Errorf("told at once: %v", voters[2].acc.Accepted)
+		}
+		voters[1].mute = true // a round waits for it in vain, and has the other taught
+		if err := change(4); err != nil || voters[2].acc.Stands.Len() != stands.Len() {
+			t.Errorf("beside one that lagged: %v, it holds %d items of %d", err, voters[2].acc.Stands.Len(), stands.Len())
+		}
+		for _, v := range voters {
+			if v.most > ballot.PageMax*5/4 {
+				t.Errorf("member %d was told %d bytes at once", v.by, v.most)
+			}
+		}
+		end()
+	})
+}
+
+// crewed is a harbour without goroutines of its own, with three members in memory.
+func crewed(t *testing.T, p *sea.Process, begin func(*voter)) (h *Harbour, voters []*voter, end func()) {
+	h, b := ashore(t)
+	h.council = council.New(p)
+	b.upto, b.taught = make([]manifest.Ballot, 3), make([]bool, 3)
+	h.own = signal.Own(b, 16)
+	roll := codebook.Roll{Epoch: 1}
+	var servers []*signal.Server
+	for n := range 3 {
+		addr := fmt.Sprintf("10.0.0.1:%d", n+1)
+		l, err := p.Listen(addr, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		v := &voter{acc: ballot.NewAcceptor(), by: n}
+		begin(v)
+		voters, servers = append(voters, v), append(servers, signal.Serve(l, v.handle))
+		roll.Voters = append(roll.Voters, codebook.Voter{Addr: addr})
+	}
+	h.council.Take(roll)
+	return h, voters, func() {
+		h.council.Close()
+		for _, s := range servers {
+			s.Close()
+		}
+		h.running.Wait()
+		h.own.End()
+		p.End()
+	}
+}
+
+// A large call behind a large one that one member alone has accepted: what was left is settled first, as both at once are more than
+// a member keeps beside its base.
+func TestLargeCallBehindALargeOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := sea.New(1)
+		p := s.Machine("10.0.0.1", "north").Start()
+		service := manifest.Item{Key: manifest.Key{Kind: manifest.Services, Name: "s"}, Version: 1, Ballot: manifest.Ballot{N: 1, By: 9}, Spec: []byte("{}")}
+		large := func(name string, b manifest.Ballot) (items []manifest.Item) {
+			for n := range 700 {
+				spec := fmt.Sprintf(`{"host":"h","path-prefix":"/%s/%d/%s/","route-kind":"idempotent","deadline-s":1,"target-s":1,"service":"s","max-attempts":1}`, name, n, strings.Repeat("x", 900))
+				items = append(items, manifest.Item{Key: manifest.Key{Kind: manifest.Routes, Name: fmt.Sprint(name, n)}, Version: 1, Ballot: b, Spec: []byte(spec)})
+			}
+			return items
+		}
+		one, two := service.Ballot, manifest.Ballot{N: 2, By: 9}
+		h, voters, end := crewed(t, p, func(v *voter) {
+			v.acc.Accept(one, []manifest.Item{service})
+			v.acc.Learn(one)
+			if v.by == 0 {
+				v.acc.Accept(two, large("left", two))
+			}
+		})
+		h.own.Ask(func(b *books) {
+			b.raise(two)
+			b.whole(one, manifest.SetOf(service))
+			b.upto[0], b.upto[1], b.upto[2] = one, one, one
+		})
+		voters[2].mute = true
+		if err := h.propose(t.Context(), ballot.Order{Items: large("call", manifest.Ballot{})}); err != nil {
+			t.Error(err)
+		}
+		for _, v := range voters[:2] {
+			if v.acc.Value.Len() != 1401 || v.most > ballot.DeltaMax {
+				t.Errorf("member %d: %d items, told %d bytes at once", v.by, v.acc.Value.Len(), v.most)
+			}
+		}
+		end()
+	})
+}
+
+// What a watched member tells in pages is in force with the last. A page of a later value whose teller is gone holds up nobody.
+func TestPagesOfAWatch(t *testing.T) {
+	_, b := ashore(t)
+	b.leases = map[duty.Name]*duty.Lease{}
+	b.heard, b.pending, b.behind, b.shut = make([]time.Time, 1), make([]time.Time, 1), make([]int, 1), make([]time.Time, 1)
+	b.marks, b.vouched, b.upto, b.taught, b.answered = make([]codebook.Mark, 1), make([]time.Time, 1), make([]manifest.Ballot, 1), make([]bool, 1), make([]time.Time, 1)
+	item := func(name string, n uint64) manifest.Item {
+		return manifest.Item{Key: manifest.Key{Kind: manifest.Routes, Name: name}, Version: 1, Ballot: manifest.Ballot{N: n}, Spec: make([]byte, ballot.PageMax/2)}
+	}
+	five := manifest.SetOf(item("a", 1), item("b", 2), item("c", 3), item("d", 5))
+	six := five.With(item("a", 6))
+	tell := func(s manifest.Set, of uint64, catches bool) {
+		p := ballot.PageOf(s, manifest.Ballot{N: of}, b.pages.Have(b.chosen))
+		w := codebook.Watched{State: "serving", Accepted: p.Target, Chosen: p.Target, Known: p.Target, From: p.From, Upto: p.Upto, Items: p.Items}
+		if catches {
+			w.Known.N++
+		}
+		b.watched(0, w, time.Now())
+	}
+	if tell(five, 5, true); !b.pages.Have(b.chosen).IsZero() {
+		t.Error("a page of a member that catches up")
+	}
+	tell(six, 6, false)
+	if !b.chosen.IsZero() || b.pages.Have(b.chosen).N != 2 {
+		t.Fatalf("behind the first page: %v, all up to %v", b.chosen, b.pages.Have(b.chosen))
+	}
+	for range 8 {
+		if tell(five, 5, false); b.chosen.N > 0 {
+			break
+		}
+	}
+	if b.chosen.N != 5 || b.stands.Len() != 4 {
+		t.Errorf("chosen %v, %d items", b.chosen, b.stands.Len())
+	}
+	if tell(six, 6, false); b.chosen.N != 6 || b.pages.Have(b.chosen).N != 6 {
+		t.Errorf("chosen %v", b.chosen)
+	}
+	seven := manifest.Ballot{N: 7} // from a purser that knows of no pages
+	b.watched(0, codebook.Watched{State: "serving", Accepted: seven, Chosen: seven, Items: []manifest.Item{item("b", 7)}}, time.Now())
+	if x, _ := b.stands.Get(item("b", 7).Key); b.chosen != seven || x.Ballot != seven || b.stands.Len() != 4 {
+		t.Errorf("told all at once: chosen %v, %d items", b.chosen, b.stands.Len())
+	}
+}
--- a/internal/harbour/program.go
+++ b/internal/harbour/program.go
@@ -1,6 +1,7 @@
 package harbour
 
 import (
+	"cmp"
 	"fmt"
 	"sync/atomic"
 	"time"
@@ -9,6 +10,7 @@
 	"saltmast/internal/codebook"
 	"saltmast/internal/launch"
 	"saltmast/internal/masthead"
+	"saltmast/internal/relief"
 	"saltmast/internal/signal"
 	"saltmast/internal/sock"
 )
@@ -19,6 +21,10 @@
 		return Launch(s, log, nil)
 	}}
 
+// leastLost bounds from below how long a voter is silent before it is replaced, whatever catchup-s says: its answers are half a
+// second apart, and a try that hangs takes 1.1 s.
+const leastLost = 1500 * time.Millisecond
+
 // Running is a harbourmaster that was started by settings.
 type Running struct {
 	H    *Harbour
@@ -44,7 +50,9 @@
 	life := launch.Life()
 	r.head = masthead.Start(s, codebook.RoleHarbour, codebook.RosterPort, codebook.HarbourPort, life, on, log)
 	r.H = Start(Options{Head: r.head, Self: codebook.Master{Name: s.NodeName, Addr: s.Port(codebook.HarbourPort), Zone: s.Zone},
-		Purser: s.Port(codebook.PurserPort), First: s.Ports[0], Life: life, Control: control, Calls: calls, Net: on, Log: log, Lost: s.VoterLost,
+		Purser: s.Port(codebook.PurserPort), First: s.Ports[0], Life: life, Control: control, Calls: calls, Net: on, Log: log,
+		Lost: cmp.Or(s.VoterLost, max(s.Bounds.Catchup/2, leastLost)), Losses: max(s.Tolerance.Machines, s.Tolerance.Zones, s.Tolerance.Regions),
+		Bears: relief.Tolerance{Zones: s.Tolerance.Zones, Regions: s.Tolerance.Regions, RegionOf: s.Zones},
 		Seeds: func() []string { return r.s.Load().Seeds }})
 	return r, nil
 }
--- a/internal/harbour/report.go
+++ b/internal/harbour/report.go
@@ -28,15 +28,9 @@
 			Life: h.o.Life, UpMs: uint64(time.Since(b.begun).Milliseconds()), Chosen: b.chosen, Epoch: roll.Epoch, Voters: roll.Voters}
 		own := &codebook.HarbourReport{Masters: slices.Collect(maps.Values(b.masters)), FreshMs: b.fresh(),
 			Teaches: b.holds(duty.Teach)}
-		for _, t := range b.heard {
-			ms := uint32(codebook.Never)
-			if !t.IsZero() {
-				ms = uint32(min(time.Since(t).Milliseconds(), codebook.Never))
-			}
-			own.HeardMs = append(own.HeardMs, ms)
-		}
+		own.HeardMs, own.AnsweredMs = sinceMs(b.heard), sinceMs(b.answered)
 		var pullers []string
-		for _, p := range b.pullers {
+		for p := range b.pullers {
 			switch {
 			case p.m.Self != nil:
 				pullers = append(pullers, p.m.Self.Node)
@@ -51,12 +45,24 @@
 			r.Harbour = own
 			r.SetItems(items)
 			r.SetBerths(reports(all), call.Brief)
-			r.Counts = Running{H: h}.Counts()
+			r.Counts, r.Traffic = Running{H: h}.Counts(), signal.Totals()
 			c.Reply(r, nil)
 		}()
 	})
 }
 
+// sinceMs are the milliseconds since each of the times; Never for a zero one.
+func sinceMs(times []time.Time) (out []uint32) {
+	for _, t := range times {
+		ms := uint32(codebook.Never)
+		if !t.IsZero() {
+			ms = uint32(min(time.Since(t).Milliseconds(), codebook.Never))
+		}
+		out = append(out, ms)
+	}
+	return out
+}
+
 func (b *books) holds(d duty.Name) bool {
 	l := b.leases[d]
 	return l != nil && l.Holds(time.Since(b.begun))
--- a/internal/harbour/rolls.go
+++ b/internal/harbour/rolls.go
@@ -18,14 +18,16 @@
 	"saltmast/internal/signal"
 )
 
-// A change of the roll: on the operator's word, or by the harbourmaster with that duty where a voter is silent for very long.
+// A change of the roll: on the operator's word, or by the harbourmaster with that duty where a voter is silent for half of catchup-s.
 // Package relief says why it is safe; nothing here has to be, since any number of proposers may stand in each other's way.
 
 const (
 	readyTime   = 700 * time.Millisecond
 	relieveTime = 1500 * time.Millisecond
 	rollTime    = 4 * time.Second        // of one change, with the tries that stand in each other's way
-	seekPart    = 10                     // of the time after which a voter is lost, between looks for another
+	seekPart    = 4                      // of the time after which a voter is lost, between looks for another
+	contactMs   = 3000                   // who has heard no majority for so long judges no call
+	growEvery   = 2 * time.Second        // between looks for voters that are wanting
 	haltTime    = 300 * time.Millisecond // a voter may be sealed for so long before the change counts as interrupted
 )
 
@@ -53,7 +55,7 @@
 	default:
 		return
 	}
-	h.running.Go(func() {
+	begun := h.begin(func() {
 		defer func() { <-h.turning }()
 		var wish []codebook.Voter
 		roll, err := h.council.Roll(), error(nil)
@@ -61,26 +63,89 @@
 			wish, err = voters(roll)
 		}
 		if err == nil && (voters == nil || wish != nil) {
-			_, err = h.relieve(roll, wish)
+			_, _, err = h.relieve(roll, wish)
 			h.o.Log("roll", why+": "+outcome(err))
 		}
 	})
+	if !begun {
+		<-h.turning
+	}
+}
+
+// gap notes when this one hears no majority, or has slept: nobody is lost for a silence of that time.
+func (b *books) gap(now time.Time) {
+	most := min(cmp.Or(b.h.o.Lost, VoterLost)/2, contactMs*time.Millisecond)
+	if len(b.heard) == 0 || time.Duration(majorityMs(b.heard))*time.Millisecond > most {
+		b.since = now
+	}
 }
 
-// tend looks for a voter that nobody has heard for very long, while this one hears a majority.
-func (b *books) tend(now time.Time) {
+// tend looks for voters that are wanting for as many losses as are to be borne, for those that share too much, and for those that
+// have been silent for as long as a loss takes, while this one hears a majority without a gap. soon: a voter is silent, and it
+// is to be asked again soon.
+func (b *books) tend(now time.Time) (soon bool) {
 	lost := cmp.Or(b.h.o.Lost, VoterLost)
-	if len(b.heard) == 0 || now.Sub(b.since) < lost || b.fresh() > 3000 {
-		return
+	if b.gap(now); b.since.Equal(now) {
+		return false
+	}
+	wanted, roll := relief.Wanted(b.h.o.Losses), b.h.council.Roll()
+	if roll.Epoch != b.epoch { // what is noted by place is of another
+		return false
 	}
-	for i, at := range b.heard {
-		if now.Sub(at) >= lost && now.Sub(b.sought) >= lost/seekPart && b.may(duty.Roll) {
-			b.sought = now
-			masters := b.pursers()
-			b.turn("a voter that is lost", func(roll codebook.Roll) ([]codebook.Voter, error) {
-				return b.h.replace(roll, i, masters, lost), nil
+	known := b.pursers()
+	zoned(&roll, known)
+	if now.Sub(b.grown) >= growEvery && (len(b.heard) < wanted || b.h.o.Bears.Excess(roll.Voters) > 0) &&
+		relief.Next(roll, nil, wanted, b.h.o.Bears, known) != nil {
+		if b.may(duty.Roll) {
+			b.grown = now
+			b.turn("voters for all losses", func(roll codebook.Roll) ([]codebook.Voter, error) {
+				zoned(&roll, known)
+				return relief.Next(roll, nil, wanted, b.h.o.Bears, b.h.well(roll, known)), nil
 			})
-			return
+			return true
+		}
+		soon = true // the next loss may come catch-up after the last one is back: nobody waits a whole look to have the duty, and another to use it
+	}
+	var gone []int
+	unwell, every := map[int]bool{}, lost
+	for i := range b.heard {
+		silent := min(now.Sub(b.answered[i]), now.Sub(b.since))
+		unwell[i] = min(now.Sub(b.heard[i]), now.Sub(b.since)) >= VoterLost
+		if silent >= lost/2 && silent < 4*lost { // then nobody is there to take its place
+			soon, every = true, lost/seekPart
+			b.may(duty.Roll) // whoever is to replace it has the duty by then
+		}
+		if silent >= lost || unwell[i] {
+			gone = append(gone, i)
+		}
+	}
+	if len(gone) == 0 || now.Sub(b.sought) < every || !b.may(duty.Roll) {
+		return soon
+	}
+	b.sought = now
+	epoch := b.epoch
+	b.turn("a voter that is lost", func(roll codebook.Roll) ([]codebook.Voter, error) {
+		if roll.Epoch != epoch {
+			return nil, nil
+		}
+		zoned(&roll, known)
+		well := make(chan []codebook.Voter, 1)
+		go func() { well <- b.h.well(roll, known) }()
+		gone := b.h.silent(roll, gone, unwell, known, lost)
+		if candidates := <-well; len(gone) > 0 && time.Since(now) < 2*readyTime { // else this process slept: they may be back
+			return relief.Next(roll, gone, wanted, b.h.o.Bears, candidates), nil
+		}
+		return nil, nil
+	})
+	return soon
+}
+
+// zoned fills in the zones of voters that were founded by their addresses alone.
+func zoned(roll *codebook.Roll, known []codebook.Voter) {
+	roll.Voters = slices.Clone(roll.Voters)
+	for i, v := range roll.Voters {
+		if at := slices.IndexFunc(known, func(k codebook.Voter) bool { return k.Addr == v.Addr }); at >= 0 && v.Zone == "" {
+			roll.Voters[i].Zone = known[at].Zone
 		}
 	}
 }
@@ -94,28 +159,96 @@
 	return out
 }
 
-// replace is the roll with a lost voter replaced by a machine that is apart and well; nil: there is none, or another
-// harbourmaster hears the voter.
-func (h *Harbour) replace(roll codebook.Roll, place int, known []codebook.Voter, lost time.Duration) []codebook.Voter {
-	var well []codebook.Voter
-	for _, v := range known {
-		if roll.Place(v.Addr) < 0 {
+// silent are those of the places that answer nobody, or don't speak as members, if they are unwell: not to this one, when they are
+// asked once more, nor to any other harbourmaster. At least one that hears a majority has to agree.
+func (h *Harbour) silent(roll codebook.Roll, places []int, unwell map[int]bool, known []codebook.Voter, lost time.Duration) []int {
+	answers := make(chan int, len(places)) // a place that answers; -1: none does
+	for _, i := range places {
+		go func() {
 			var r codebook.Readied
-			if h.call(v.Addr, codebook.Ready, codebook.ReadyCall{Dry: true}, &r, readyTime) == nil && r.State == "apart" {
-				well = append(well, v)
+			if at := roll.Voters[i].Addr; h.call(at, codebook.Ready, codebook.ReadyCall{Dry: true}, &r, readyTime) == nil && (r.State == "serving" || !unwell[i]) {
+				answers <- i
+				return
 			}
+			answers <- -1
+		}()
+	}
+	type told struct {
+		r   codebook.Reported
+		err error
+	}
+	others := make(chan told, len(known))
+	asked := 0
+	for _, v := range known {
+		if m := codebook.Beside(v.Addr, h.o.First, codebook.HarbourPort); m != h.o.Self.Addr {
+			asked++
+			go func() {
+				var t told
+				t.err = h.call(m, codebook.Report, codebook.ReportCall{Brief: true}, &t.r, readyTime)
+				others <- t
+			}()
 		}
-		m := codebook.Beside(v.Addr, h.o.First, codebook.HarbourPort)
-		var r codebook.Reported
-		if m == h.o.Self.Addr || h.call(m, codebook.Report, codebook.ReportCall{Brief: true}, &r, readyTime) != nil || r.Harbour == nil {
+	}
+	heard := map[int]bool{}
+	for range places {
+		heard[<-answers] = true
+	}
+	witnesses := 0
+	for range asked {
+		t := <-others
+		if t.err != nil || t.r.Harbour == nil {
 			continue
 		}
-		if r.Epoch != roll.Epoch || place < len(r.Harbour.HeardMs) && time.Duration(r.Harbour.HeardMs[place])*time.Millisecond < lost {
+		ms := t.r.Harbour.AnsweredMs
+		if t.r.Epoch != roll.Epoch || len(ms) != len(roll.Voters) || len(t.r.Harbour.HeardMs) != len(ms) {
 			return nil
 		}
+		lately := 0
+		for i, at := range ms {
+			if time.Duration(at)*time.Millisecond < lost/2 {
+				lately++
+			}
+			if unwell[i] {
+				at = t.r.Harbour.HeardMs[i]
+			}
+			if time.Duration(at)*time.Millisecond < lost {
+				heard[i] = true
+			}
+		}
+		if lately >= ballot.Majority(len(ms)) && time.Duration(t.r.UpMs)*time.Millisecond >= lost {
+			witnesses++
+		}
+	}
+	if witnesses == 0 {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(places), func(i int) bool { return heard[i] })
+}
+
+// well are those that stand apart and may become voters with no word of the operator's: whose loss is bounded.
+func (h *Harbour) well(roll codebook.Roll, known []codebook.Voter) (well []codebook.Voter) {
+	ch := make(chan int, len(known))
+	for i, v := range known {
+		go func() {
+			var r codebook.Readied
+			if roll.Place(v.Addr) >= 0 || h.call(v.Addr, codebook.Ready, codebook.ReadyCall{Dry: true}, &r, readyTime) != nil ||
+				r.State != "apart" || !r.Quorum {
+				i = -1
+			}
+			ch <- i
+		}()
+	}
+	var places []int
+	for range known {
+		if i := <-ch; i >= 0 {
+			places = append(places, i)
+		}
 	}
-	voters, _ := relief.Replace(roll, place, well)
-	return voters
+	slices.Sort(places)
+	for _, i := range places {
+		well = append(well, known[i])
+	}
+	return well
 }
 
 // call makes one call to an address.
@@ -169,16 +302,16 @@
 	return next, nil
 }
 
-// relieve runs a change of the roll to its end. voters: nil to finish one that was left in the middle.
-func (h *Harbour) relieve(roll codebook.Roll, voters []codebook.Voter) (codebook.Roll, error) {
+// relieve runs a change of the roll to its end, and tells how many of its voters hold the books by then. voters: nil to finish one
+// that was left in the middle.
+func (h *Harbour) relieve(roll codebook.Roll, voters []codebook.Voter) (next codebook.Roll, holds int, err error) {
 	var mine codebook.Roll
 	if len(roll.Voters) == 0 {
-		return roll, plight.New(plight.CoreOut, "nobody known that counts")
+		return roll, 0, plight.New(plight.CoreOut, "nobody known that counts")
 	}
 	if voters != nil {
-		var err error
 		if mine, err = h.prepare(roll, voters, false); err != nil {
-			return roll, err
+			return roll, 0, err
 		}
 	}
 	for end := time.Now().Add(rollTime); ; {
@@ -186,18 +319,18 @@
 		switch {
 		case err == nil:
 			h.Counts.Relieved.Add(1)
-			h.hand(next)
+			holds = h.hand(next)
 			if voters != nil && !next.Same(mine) {
-				return next, plight.New(plight.Preempted, "another change was under way")
+				return next, holds, plight.New(plight.Preempted, "another change was under way")
 			}
-			return next, nil
+			return next, holds, nil
 		case h.council.Roll().Epoch != roll.Epoch:
-			return h.council.Roll(), plight.New(plight.Preempted, "another change came first")
+			return h.council.Roll(), 0, plight.New(plight.Preempted, "another change came first")
 		case plight.Of(err) != plight.Preempted && plight.Of(err) != plight.CoreOut, time.Now().After(end):
-			return roll, err
+			return roll, 0, err
 		}
 		if !h.pause(10*time.Millisecond + rand.N(150*time.Millisecond)) {
-			return roll, err
+			return roll, 0, err
 		}
 	}
 }
@@ -257,8 +390,9 @@
 	return next, outOr(err)
 }
 
-// hand tells a chosen roll to all that it concerns, and takes it once a majority of its voters speaks in the new epoch.
-func (h *Harbour) hand(next codebook.Roll) {
+// hand tells a chosen roll to all that it concerns, and takes it once a majority of its voters speaks in the new epoch, or
+// there is none within the time. It gives how many did: with fewer than a majority, nobody that leaves may go yet.
+func (h *Harbour) hand(next codebook.Roll) (holds int) {
 	begun := time.Now()
 	ch := make(chan bool, len(next.Voters))
 	tell := func(v codebook.Voter) {
@@ -269,7 +403,6 @@
 	for _, v := range next.Voters {
 		go tell(v)
 	}
-	holds := 0
 	for range next.Voters {
 		if <-ch {
 			if holds++; holds >= ballot.Majority(len(next.Voters)) {
@@ -284,6 +417,7 @@
 			go h.call(v.Addr, codebook.Relieve, codebook.RelieveCall{Roll: next}, nil, relieveTime)
 		}
 	}
+	return holds
 }
 
 // dismiss tells the purser beside this one that it does not count, until it knows: it may have slept through the change.
@@ -312,12 +446,15 @@
 		if h.over() {
 			return
 		}
-		known := b.pursers()
-		h.running.Go(func() {
+		known, silent := b.pursers(), majorityMs(b.heard) // the sealed too: a change may be left in the middle
+		h.begin(func() {
 			begun := time.Now()
 			roll := h.council.Roll()
 			t := codebook.RollsTold{Was: roll, Roll: roll}
 			voters, err := wished(roll, known, call)
+			if silent > contactMs { // nothing is refused by what may be old here
+				err = plight.New(plight.CoreOut, "no majority was heard for %d ms", silent)
+			}
 			switch {
 			case err != nil:
 			case call.Dry:
@@ -325,7 +462,7 @@
 			default:
 				select {
 				case h.turning <- struct{}{}:
-					t.Roll, err = h.relieve(roll, voters)
+					t.Roll, t.Holds, err = h.relieve(roll, voters)
 					<-h.turning
 				default:
 					err = plight.New(plight.Preempted, "another change is under way")
--- a/internal/lookout/differ.go
+++ b/internal/lookout/differ.go
@@ -94,12 +94,13 @@
 	t := &tellings{}
 	known := l.chosen()
 	var all []codebook.ItemReport
-	seen := map[manifest.Key]bool{}
+	seen, dropped := map[manifest.Key]bool{}, map[manifest.Key]bool{}
 	for _, a := range l.Agents {
 		if a.Told == nil {
 			continue
 		}
 		for _, i := range a.Told.Items {
+			dropped[i.Key] = dropped[i.Key] || i.Dropped
 			if !seen[i.Key] {
 				seen[i.Key] = true
 				all = append(all, i)
@@ -124,6 +125,7 @@
 			mine, ok := have[i.Key]
 			switch {
 			case !ok && a.Told.ItemsLeft > 0: // it may be among those that were left out
+			case !ok && a.Told.Tug != nil && dropped[i.Key]: // proxies keep no tombstones
 			case !ok:
 				t.add(i.Key.String(), "none", a.Name())
 			case mine.Dropped:
--- a/internal/lookout/lookout_test.go
+++ b/internal/lookout/lookout_test.go
@@ -212,6 +212,15 @@
 	if ds := m.Note(l); ds[len(ds)-1].What != whatBerths {
 		t.Errorf("%+v", ds)
 	}
+	// A proxy keeps no tombstones, and still lacks what stands.
+	core := l.Agents[0].Told
+	for _, dropped := range []bool{true, false} {
+		core.Items = append(slices.Clone(core.Items[:2]), codebook.ItemReport{Key: manifest.Key{Kind: manifest.Routes, Name: "gone"}, Version: 9, Dropped: dropped})
+		told := slices.ContainsFunc(m.Note(l), func(d Difference) bool { return strings.Contains(d.Name, "gone") })
+		if told == dropped {
+			t.Errorf("dropped %v, told %v", dropped, told)
+		}
+	}
 }
 
 // Every key of --json, as scripts know them.
--- a/internal/lookout/roll.go
+++ b/internal/lookout/roll.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"saltmast/internal/ballot"
 	"saltmast/internal/codebook"
 	"saltmast/internal/plight"
 	"saltmast/internal/signal"
@@ -54,6 +55,9 @@
 			fmt.Fprintf(out, "would be epoch %d: %s\n", t.Roll.Epoch, nodes(t.Roll))
 		default:
 			fmt.Fprintf(out, "is epoch %d: %s, after %d ms\n", t.Roll.Epoch, nodes(t.Roll), t.TookMs)
+			if n := len(t.Roll.Voters); t.Holds < ballot.Majority(n) {
+				return wrong("%d of its %d voters hold the books yet: leave those that are replaced as they are until a majority does", t.Holds, n)
+			}
 		}
 		return exitGood
 	}
--- a/internal/manifest/chart.go
+++ b/internal/manifest/chart.go
@@ -1,7 +1,6 @@
 package manifest
 
 import (
-	"cmp"
 	"encoding/json"
 	"math"
 	"slices"
@@ -71,89 +70,6 @@
 	return ClientLimits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
 }
 
-// Chart is one reading of a Set. Nothing of it may be changed, and any number of goroutines may use it.
-type Chart struct {
-	hosts    map[string][]*Route // in lower case; the longest prefix first
-	routes   []*Route            // by name
-	services map[string]*Service
-	limits   ClientLimits
-}
-
-// Chart reads a set. It never fails, and equal sets give equal charts: an item that can't be read is left out; of routes that
-// share host and prefix the one with the highest version stays, then the one with the lowest name; a route to an unknown
-// service stays as it is.
-func (s Set) Chart() *Chart {
-	c := &Chart{hosts: map[string][]*Route{}, services: map[string]*Service{}, limits: DefaultLimits()}
-	type place struct{ host, prefix string }
-	at := map[place]*Route{}
-	for _, i := range s.standing() {
-		switch i.Key.Kind {
-		case Routes:
-			if r, err := readRoute(i); err == nil {
-				p := place{r.Host, r.Prefix}
-				if o := at[p]; o == nil || i.Version > s[Key{Kind: Routes, Name: o.Name}].Version {
-					at[p] = r
-				}
-			}
-		case Services:
-			if v, err := readService(i); err == nil {
-				c.services[v.Name] = v
-			}
-		case Limits:
-			if l, err := readLimits(i); err == nil {
-				c.limits = l
-			}
-		}
-	}
-	for p, r := range at {
-		c.routes = append(c.routes, r)
-		c.hosts[p.host] = append(c.hosts[p.host], r)
-	}
-	slices.SortFunc(c.routes, func(a, b *Route) int { return cmp.Compare(a.Name, b.Name) })
-	for _, rs := range c.hosts {
-		slices.SortFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
-	}
-	return c
-}
-
-// Route is the route for a request: of those for its host, whatever its case and port, the one with the longest prefix that
-// begins the path. nil: there is none. It allocates nothing.
-func (c *Chart) Route(host, path string) *Route {
-	rs, ok := c.hosts[host]
-	if !ok {
-		if n := strings.LastIndexByte(host, ':'); n > strings.IndexByte(host, ']') {
-			host = host[:n]
-		}
-		var lower [255]byte // no name of a host is longer
-		if len(host) > len(lower) {
-			return nil
-		}
-		for n := range len(host) {
-			b := host[n]
-			if 'A' <= b && b <= 'Z' {
-				b += 'a' - 'A'
-			}
-			lower[n] = b
-		}
-		rs = c.hosts[string(lower[:len(host)])]
-	}
-	for _, r := range rs {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r
-		}
-	}
-	return nil
-}
-
-// Service is the service of that name; nil: there is none.
-func (c *Chart) Service(name string) *Service { return c.services[name] }
-
-// Limits hold for what clients send.
-func (c *Chart) Limits() ClientLimits { return c.limits }
-
-// Routes are all routes by name. The slice belongs to the chart.
-func (c *Chart) Routes() []*Route { return c.routes }
-
 // The readings below tell of an item alone whether it is valid: they hold as much as the schema, and what spans several of
 // its fields.
 
--- a/internal/manifest/check.go
+++ b/internal/manifest/check.go
@@ -1,9 +1,12 @@
 package manifest
 
 import (
+	"bytes"
 	_ "embed"
+	"encoding/json"
 	"errors"
 	"slices"
+	"strings"
 
 	"saltmast/internal/survey"
 )
@@ -18,15 +21,60 @@
 	if err := c.survey(); err != nil {
 		return err
 	}
-	for _, i := range c.Items {
-		if i.Dropped {
+	for _, of := range [][]Item{c.Items, c.lower} {
+		for _, i := range of {
+			if i.Dropped {
+				continue
+			}
+			if a, b, found := sameName(i.Spec); found {
+				return invalid(i.Key.String(), "%q and %q are one name", a, b)
+			}
+			if err := checkItem(i); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// sameName finds two names of one object that are equal but for case. A reader that doesn't mind case goes by their order, which
+// contents don't have: they would be one content with two effects.
+func sameName(spec []byte) (a, b string, found bool) {
+	type object struct {
+		names map[string]string // folded to as written; nil: an array
+		value bool              // a value comes next
+	}
+	var open []object
+	for d := json.NewDecoder(bytes.NewReader(spec)); ; {
+		token, err := d.Token()
+		if err != nil { // the end; what can't be read was found before
+			return "", "", false
+		}
+		switch token {
+		case json.Delim('{'):
+			open = append(open, object{names: map[string]string{}})
+			continue
+		case json.Delim('['):
+			open = append(open, object{})
+			continue
+		case json.Delim('}'), json.Delim(']'):
+			open = open[:len(open)-1]
+		}
+		if len(open) == 0 {
 			continue
 		}
-		if err := checkItem(i); err != nil {
-			return err
+		o := &open[len(open)-1]
+		name, named := token.(string)
+		if o.names == nil || o.value || !named { // a value, or one that ended
+			o.value = false
+			continue
+		}
+		folded := strings.ToLower(name)
+		if was, twice := o.names[folded]; twice && was != name {
+			return was, name, true
 		}
+		o.names[folded], o.value = name, true
 	}
-	return nil
 }
 
 // survey holds the items against the schema in one go: most of its cost is the schema's own.
@@ -76,32 +124,7 @@
 }
 
 // Check tells whether what stands is valid as a whole: each item can be read, each route leads to services that stand, and no
-// two routes share host and prefix. Schemas are left out here: every item of a set came in a call that passed its own Check,
-// and this one runs over all of them for each call. An error is an *Invalid.
-func (s Set) Check() error {
-	type place struct{ host, prefix string }
-	at := map[place]string{}
-	for _, i := range s.standing() {
-		if i.Key.Kind != Routes {
-			if err := checkItem(i); err != nil {
-				return err
-			}
-			continue
-		}
-		r, err := readRoute(i)
-		if err != nil {
-			return err
-		}
-		for _, share := range r.Split {
-			if v, ok := s[Key{Kind: Services, Name: share.Service}]; !ok || v.Dropped {
-				return invalid(i.Key.String(), "unknown service %s", quoted(share.Service))
-			}
-		}
-		p := place{r.Host, r.Prefix}
-		if o, ok := at[p]; ok {
-			return invalid(i.Key.String(), "host %s and prefix %s are those of route %s", quoted(r.Host), quoted(r.Prefix), quoted(o))
-		}
-		at[p] = r.Name
-	}
-	return nil
-}
+// two routes share host and prefix. Schemas are left out here: every item of a set came in a call that passed its own Check.
+// For a set that keeps its chart it costs next to nothing, else it reads all items. An error is an *Invalid, of the first item
+// at fault.
+func (s Set) Check() error { return s.Chart().fault() }
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -24,6 +24,10 @@
 	Routes Kind = iota
 	Services
 	Limits // a single item
+
+	// Refusals is no kind that an operator sends: its one item, which never stands, remembers the calls refused last, each
+	// by a number and its digest.
+	Refusals Kind = 255
 )
 
 var kinds = [...]string{Routes: "routes", Services: "services", Limits: "limits"}
@@ -32,6 +36,9 @@
 	if int(k) < len(kinds) {
 		return kinds[k]
 	}
+	if k == Refusals {
+		return "refusals"
+	}
 	return "kind " + strconv.Itoa(int(k))
 }
 
@@ -72,7 +79,7 @@
 }
 
 func (k Key) String() string {
-	if k.Kind == Limits {
+	if k.Kind == Limits || k.Kind == Refusals {
 		return k.Kind.String()
 	}
 	return k.Kind.String() + " " + quoted(k.Name)
@@ -89,6 +96,7 @@
 	Ballot  Ballot  `cbor:"3,keyasint"`
 	Dropped bool    `cbor:"4,keyasint,omitempty"` // a tombstone: the item is removed since that version
 	Spec    []byte  `cbor:"5,keyasint,omitempty"` // the JSON object as it was sent, without spaces; nil when dropped
+	Past    []Taken `cbor:"6,keyasint,omitempty"` // numbers below Version that were acknowledged, the highest first
 }
 
 // compare orders the contents that one key may have. What stands comes after what is dropped.
@@ -103,39 +111,18 @@
 	return cmp.Or(c, bytes.Compare(i.Spec, o.Spec))
 }
 
-// Set is a configuration, tombstones included.
-type Set map[Key]Item
-
-// Join takes an item if it is higher than the one that the set holds under its key, and reports whether it did. Items are
-// ordered by version, then ballot, then content, so that sets which were joined with the same items are equal.
-func (s Set) Join(i Item) bool {
-	if have, ok := s[i.Key]; ok && i.compare(have) <= 0 {
-		return false
-	}
-	s[i.Key] = i
-	return true
-}
-
-// Clone is a copy that can be joined apart from s.
-func (s Set) Clone() Set { return maps.Clone(s) }
-
-// standing is the items that are not dropped, by kind and name.
-func (s Set) standing() []Item {
-	items := make([]Item, 0, len(s))
-	for _, i := range s {
-		if !i.Dropped {
-			items = append(items, i)
-		}
-	}
-	slices.SortFunc(items, func(a, b Item) int { return a.Key.compare(b.Key) })
-	return items
-}
-
 // Encode lays out all items that stand as a JSON object with one list, in the order of kinds and names.
 func (s Set) Encode() []byte {
-	out := []byte(`{"resources":[`)
-	for n, i := range s.standing() {
-		if n > 0 {
+	size := 64
+	for i := range s.All() {
+		size += 128 + len(i.Key.Name) + len(i.Spec)
+	}
+	out := append(make([]byte, 0, size), `{"resources":[`...)
+	for i := range s.All() {
+		if i.Dropped {
+			continue
+		}
+		if out[len(out)-1] != '[' {
 			out = append(out, ',')
 		}
 		out = append(append(append(out, `{"resource-kind":"`...), i.Key.Kind.String()...), `","metadata":{`...)
@@ -150,6 +137,9 @@
 
 // text is s as JSON, with < and the like as they are.
 func text(s string) []byte {
+	if !strings.ContainsFunc(s, func(r rune) bool { return r < ' ' || r > '~' || r == '"' || r == '\\' }) {
+		return append(append(append(make([]byte, 0, 2+len(s)), '"'), s...), '"')
+	}
 	var b bytes.Buffer
 	e := json.NewEncoder(&b)
 	e.SetEscapeHTML(false)
@@ -175,10 +165,13 @@
 }
 
 // Call is what one call of the operator asks for: items to set and tombstones, one for each key, with ballots of zero.
-type Call struct{ Items []Item }
+type Call struct {
+	Items []Item
+	lower []Item // of names that came with several versions: those that don't count, and are acknowledged all the same
+}
 
 // DecodeCall reads the body of a call. Items keep the order in which their names first came; of a name that comes with several
-// versions the highest counts. An error is an *Invalid. What the specifications say is not looked at, see Check.
+// versions the highest counts, and remembers the others. An error is an *Invalid. What the specifications say is not looked at, see Check.
 func DecodeCall(body []byte) (Call, error) {
 	type metadata struct{ Name, Version string }
 	var b struct {
@@ -225,10 +218,25 @@
 		case !again:
 			at[i.Key] = len(c.Items)
 			c.Items = append(c.Items, i)
-		case i.Version > c.Items[n].Version:
-			c.Items[n] = i
-		case i.Version == c.Items[n].Version && i.compare(c.Items[n]) != 0:
-			return invalid(i.Key.String(), "two contents at %s", i.Version)
+		default:
+			high, low := c.Items[n], i
+			if i.Version > high.Version {
+				high, low = i, high
+				high.Past = low.Past
+			}
+			low.Past = nil
+			known := high.Knows(low.Taken())
+			if known == Unheard {
+				high, _ = high.Remember(low.Taken())
+				c.lower = append(c.lower, low)
+			}
+			c.Items[n] = high
+			switch known {
+			case Against:
+				return invalid(i.Key.String(), "two contents at %s", i.Version)
+			case Overtime:
+				return invalid(i.Key.String(), "over %d versions in one call", MaxPast)
+			}
 		}
 		return nil
 	}
--- a/internal/manifest/manifest_test.go
+++ b/internal/manifest/manifest_test.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"maps"
 	"reflect"
 	"slices"
 	"strings"
@@ -32,11 +31,17 @@
 	}
 	s := Set{}
 	for _, i := range c.Items {
-		s.Join(i)
+		s, _ = s.Join(i)
 	}
 	return s
 }
 
+// equal tells whether two sets hold the same, by either order.
+func equal(a, b Set) bool {
+	return reflect.DeepEqual(slices.Collect(a.All()), slices.Collect(b.All())) &&
+		reflect.DeepEqual(slices.Collect(a.Since(Ballot{})), slices.Collect(b.Since(Ballot{}))) && a.Len() == b.Len()
+}
+
 // Joins of the same items end in the same set, whatever their order, grouping and number.
 func TestJoinLaws(t *testing.T) {
 	item := rapid.Custom(func(t *rapid.T) Item {
@@ -52,12 +57,16 @@
 		return i
 	})
 	joined := func(s Set, items ...Item) Set {
-		s = s.Clone()
 		for _, i := range items {
-			before := s.Clone()
-			if changed := s.Join(i); changed == reflect.DeepEqual(before, s) {
+			before, held := s, slices.Collect(s.All())
+			next, changed := s.Join(i)
+			if changed == equal(before, next) {
 				panic("Join reports the wrong thing")
 			}
+			if !reflect.DeepEqual(held, slices.Collect(before.All())) {
+				panic("Join changes the set that it is asked of")
+			}
+			s = next
 		}
 		return s
 	}
@@ -65,14 +74,14 @@
 		items := rapid.SliceOf(item).Draw(t, "items")
 		once := joined(Set{}, items...)
 		other := rapid.Permutation(items).Draw(t, "other")
-		if s := joined(Set{}, other...); !reflect.DeepEqual(s, once) {
+		if s := joined(Set{}, other...); !equal(s, once) {
 			t.Fatalf("order matters: %v, %v", s, once)
 		}
 		cut := rapid.IntRange(0, len(items)).Draw(t, "cut")
-		if s := joined(joined(Set{}, items[:cut]...), slices.Collect(maps.Values(joined(Set{}, items[cut:]...)))...); !reflect.DeepEqual(s, once) {
+		if s := joined(joined(Set{}, items[:cut]...), slices.Collect(joined(Set{}, items[cut:]...).All())...); !equal(s, once) {
 			t.Fatalf("grouping matters: %v, %v", s, once)
 		}
-		if s := joined(once, other...); !reflect.DeepEqual(s, once) {
+		if s := joined(once, other...); !equal(s, once) {
 			t.Fatalf("a second join matters: %v, %v", s, once)
 		}
 	})
@@ -86,7 +95,8 @@
 		{"resource-kind": "routes", "metadata": {"name": "a", "version": "r4"}, "specification": {"z": 3}}
 	]}, "remove": {"services": [{"name": "s", "version": "r9"}], "routes": [{"name": "b", "version": "r7"}, {"name": "b", "version": "r7"}], "boats": []}}`))
 	want := []Item{
-		{Key: Key{Kind: Routes, Name: "a"}, Version: 5, Spec: []byte(`{"z":[2]}`)},
+		{Key: Key{Kind: Routes, Name: "a"}, Version: 5, Spec: []byte(`{"z":[2]}`), Past: []Taken{
+			Item{Version: 4, Spec: []byte(`{"z":3}`)}.Taken(), Item{Version: 3, Spec: []byte(`{"z":1,"a":"<&>"}`)}.Taken()}},
 		{Key: Key{Kind: Limits}, Version: 12, Spec: []byte(`{}`)},
 		{Key: Key{Kind: Routes, Name: "b"}, Version: 7, Dropped: true},
 		{Key: Key{Kind: Services, Name: "s"}, Version: 9, Dropped: true},
@@ -149,6 +159,9 @@
 		{`"/b1/"`, `"/b0/"`, ``, `routes "berth-1": host "quay.example" and prefix "/b0/" are those of route "berth-0"`},
 		{`"remove":{"routes":[]}`, `"remove":{"services":[{"name":"cranes","version":"r4"}]}`, ``, `routes "berth-0": unknown service "cranes"`},
 		{`"max-attempts":2`, `"max-attempts":2.0,"colour":null`, ``, ``},
+		{`"deadline-s":0.8`, `"Deadline-S":3,"deadline-s":0.8`, `routes "berth-0": "Deadline-S" and "deadline-s" are one name`, ``},
+		{`"weight":10`, `"weight":10,"WEIGHT":[{"weight":1}]`, `routes "berth-0": "weight" and "WEIGHT" are one name`, `routes "berth-0": split.weight: can't read the array there`},
+		{`"tls":false`, `"notes":{"a":[1,{"b":"tls","tls":true}],"b":"a"},"tls":false`, ``, ``},
 	} {
 		body := strings.Replace(good, l.old, l.new, 1)
 		c, err := DecodeCall([]byte(body))
@@ -181,7 +194,7 @@
 	if got := string(Set{}.Encode()); got != `{"resources":[]}` {
 		t.Errorf("the empty set: %s", got)
 	}
-	for _, i := range s {
+	for i := range s.All() {
 		i.Ballot = Ballot{N: 1 << 40, By: 7}
 		raw, err := cbor.Marshal(i)
 		var back Item
@@ -251,14 +264,14 @@
 	if got := s.Chart().Limits(); got != want {
 		t.Errorf("got %+v", got)
 	}
-	s.Join(Item{Key: Key{Kind: Limits}, Version: 2, Dropped: true})
+	s, _ = s.Join(Item{Key: Key{Kind: Limits}, Version: 2, Dropped: true})
 	if got := s.Chart().Limits(); got != DefaultLimits() {
 		t.Errorf("dropped: %+v", got)
 	}
 }
 
 func BenchmarkCall(b *testing.B) {
-	for _, n := range []int{1, 27} {
+	for _, n := range []int{1, 27, 500} {
 		body := call(n)
 		b.Run(fmt.Sprintf("decode-%d", n), func(b *testing.B) {
 			b.ReportAllocs()
@@ -280,7 +293,7 @@
 		})
 		s := Set{}
 		for _, i := range c.Items {
-			s.Join(i)
+			s, _ = s.Join(i)
 		}
 		b.Run(fmt.Sprintf("set-check-%d", n), func(b *testing.B) {
 			b.ReportAllocs()
@@ -307,3 +320,30 @@
 		})
 	}
 }
+
+// What changed after a ballot is told by the order of ballots, each item once, however often it changed.
+func TestSince(t *testing.T) {
+	key := func(n int) Key { return Key{Kind: Routes, Name: fmt.Sprint("r", n)} }
+	s := Set{}
+	for n := range 40 {
+		s = s.With(Item{Key: key(n % 7), Version: Version(n + 1), Ballot: Ballot{N: uint64(n + 1), By: uint32(n % 3)}})
+	}
+	s = s.Without(key(5), Key{Kind: Services, Name: "none"})
+	for after := range 42 {
+		b, got, want := Ballot{N: uint64(after), By: 9}, []Version(nil), []Version(nil)
+		for i := range s.Since(b) {
+			got = append(got, i.Version)
+		}
+		for n := 33; n < 40; n++ {
+			if n%7 != 5 && n+1 > after {
+				want = append(want, Version(n+1))
+			}
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("after %d: %v, want %v", after, got, want)
+		}
+	}
+	if s.Len() != 6 || len(slices.Collect(Set{}.Since(Ballot{}))) != 0 {
+		t.Errorf("%d items", s.Len())
+	}
+}
--- /dev/null
+++ b/internal/manifest/tombstone_test.go
@@ -0,0 +1,32 @@
+package manifest
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// What a tombstone costs whoever keeps it: in memory, and in a message.
+func BenchmarkTombstone(b *testing.B) {
+	const n = 100000
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		s := fleet(100)
+		for i := range n {
+			s = s.With(Item{Key: Key{Kind: Routes, Name: fmt.Sprintf("gone-%07d", i)}, Version: 9, Ballot: Ballot{N: uint64(i + 2), By: 77}, Dropped: true})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		i, _ := s.Get(Key{Kind: Routes, Name: "gone-0000007"})
+		raw, err := cbor.Marshal(i)
+		if err != nil || s.Len() < n {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/n, "heap-B/tombstone")
+		b.ReportMetric(float64(len(raw)), "wire-B/tombstone")
+	}
+}
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -3,9 +3,11 @@
 package pilot
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -23,12 +25,12 @@
 
 // Port is what one program serves.
 type Port struct {
-	Beat      func(Beat) error                 // a backend tells of itself
-	Leave     func(id string) error            // a backend has ended
-	Change    func(body []byte) error          // the operator changes the configuration
-	Configure func() (body []byte, err error)  // the operator reads it
-	Ready     func() error                     // the platform asks
-	Refused   func(k plight.Kind, text string) // hears of each call that was not taken; may be nil
+	Beat      func(Beat) error                                   // a backend tells of itself
+	Leave     func(id string) error                              // a backend has ended
+	Change    func(ctx context.Context, body []byte) error       // the operator changes the configuration; ctx ends with the caller
+	Configure func(ctx context.Context) (body []byte, err error) // the operator reads it
+	Ready     func() error                                       // the platform asks
+	Refused   func(k plight.Kind, text string)                   // hears of each call that was not taken; may be nil
 }
 
 // Beat is what a backend tells of itself.
@@ -138,9 +140,9 @@
 		if err != nil {
 			return nil, err
 		}
-		return []byte("{}"), p.Change(raw)
+		return []byte("{}"), p.Change(r.Context(), raw)
 	case len(seg) == 2 && seg[1] == "configuration" && r.Method == http.MethodGet && p.Configure != nil:
-		return p.Configure()
+		return p.Configure(r.Context())
 	}
 	return nil, plight.New(plight.NoCall, "%s %s", r.Method, r.URL.Path)
 }
@@ -150,6 +152,9 @@
 	if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
 		return nil, plight.New(plight.BodyTooLong, "over %d bytes", most)
 	}
+	if ne := net.Error(nil); errors.As(err, &ne) || errors.Is(err, io.ErrUnexpectedEOF) { // it did not come whole: nothing is wrong with it
+		return nil, plight.New(plight.TooSlow, "%w", err)
+	}
 	if err != nil {
 		return nil, plight.New(plight.Unreadable, "%w", err)
 	}
--- a/internal/pilot/pilot_test.go
+++ b/internal/pilot/pilot_test.go
@@ -1,6 +1,7 @@
 package pilot
 
 import (
+	"context"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -16,10 +17,13 @@
 func TestDispatch(t *testing.T) {
 	called := ""
 	all := &Port{
-		Beat:      func(b Beat) error { called = "beat " + b.ID; return nil },
-		Leave:     func(id string) error { called = "leave " + id; return plight.New(plight.Gone, "") },
-		Change:    func(b []byte) error { called = "change " + string(b); return plight.New(plight.Conflict, "") },
-		Configure: func() ([]byte, error) { called = "configure"; return []byte(`{"a":1}`), nil },
+		Beat:  func(b Beat) error { called = "beat " + b.ID; return nil },
+		Leave: func(id string) error { called = "leave " + id; return plight.New(plight.Gone, "") },
+		Change: func(_ context.Context, b []byte) error {
+			called = "change " + string(b)
+			return plight.New(plight.Conflict, "")
+		},
+		Configure: func(context.Context) ([]byte, error) { called = "configure"; return []byte(`{"a":1}`), nil },
 		Ready:     func() error { called = "ready"; return plight.New(plight.NotReady, "") },
 	}
 	for _, c := range []struct {
--- /dev/null
+++ b/internal/purser/amid_test.go
@@ -0,0 +1,156 @@
+package purser
+
+import (
+	"fmt"
+	"testing"
+
+	"saltmast/internal/ballot"
+	"saltmast/internal/codebook"
+	"saltmast/internal/hold"
+	"saltmast/internal/manifest"
+	"saltmast/internal/relief"
+)
+
+// much is books that come to disk in several parts.
+func much() (items []manifest.Item, claims []codebook.ClaimCall) {
+	for i := range 2500 {
+		claims = append(claims, codebook.ClaimCall{Key: fmt.Sprint("key ", i), ID: id(uint64(i + 1))})
+	}
+	for i := range 300 {
+		k := manifest.Key{Kind: manifest.Routes, Name: fmt.Sprint("r-", i)}
+		items = append(items, manifest.Item{Key: k, Version: 2, Spec: []byte("{}"), Ballot: manifest.Ballot{N: 9}})
+	}
+	return items, claims
+}
+
+// dies lets n syncs of a desk pass; then the next fails, or the purser dies and begins again on what is on disk. done reports
+// whether there were as many.
+func (d *desk) dies(t *testing.T, n int, fails bool) (again *desk, done bool) {
+	for range n {
+		d.catchUp()
+		if len(d.paper.waits) == 0 {
+			return nil, true
+		}
+		d.paper.sync(nil)
+	}
+	d.catchUp()
+	if len(d.paper.waits) == 0 {
+		return nil, true
+	}
+	if fails {
+		d.paper.sync(hold.ErrDisk)
+		for len(d.later) > 0 {
+			d.catchUp()
+		}
+		return d, false
+	}
+	again = newDesk(t, Options{})
+	again.as, again.paper = hold.Whole, d.paper
+	again.paper.waits = nil
+	again.open()
+	again.mustering = true // no test here waits for a repair
+	return again, false
+}
+
+// A repair that dies, or whose sync fails, at whatever part: the member says nothing until all that it took is on disk, and the
+// next repair makes up for all.
+func TestRepairThatDiesAtEachSync(t *testing.T) {
+	items, claims := much()
+	m := mustered{m: codebook.Mustered{Vouch: ballot.Vouch{By: 1, Incs: []uint64{2, 1, 1}}, Accepted: manifest.Ballot{N: 9},
+		Chosen: manifest.Ballot{N: 9}}, claims: claims, base: manifest.SetOf(items...)}
+	for _, fails := range []bool{false, true} {
+		n, done := 0, false
+		for ; !done; n++ {
+			d := newDesk(t, Options{})
+			d.open()
+			d.roll = codebook.Roll{Epoch: 1, Voters: voters}
+			d.place()
+			d.paper.rows[tableMeta] = map[string][]byte{"roll": d.putRoll().Value, "incs": d.putIncs().Value}
+			d.set(Repairing)
+			d.restore(2, []mustered{m}, nil)
+			var again *desk
+			if again, done = d.dies(t, n, fails); done {
+				if d.state != Serving {
+					t.Errorf("%s after %d syncs", d.state, n)
+				}
+				break
+			}
+			if again.state != Repairing {
+				t.Errorf("%s after %d syncs, %d claims and %d items", again.state, n, again.ledger.Len(), again.acc.Value.Len())
+			}
+			again.mustering = false
+			again.restore(3, []mustered{m}, again.left(t))
+			again.settle()
+			if again.state != Serving || again.incs[0] != 3 || len(again.paper.rows[tableClaims]) != len(claims) || len(again.paper.rows[tableItems]) != len(items) {
+				t.Errorf("%s after %d syncs and another repair, incarnations %v", again.state, n, again.incs)
+			}
+		}
+		if n < 3 {
+			t.Errorf("%d syncs only", n)
+		}
+	}
+}
+
+// A taking over that dies, or whose sync fails, at whatever part: a new voter stands apart as before, and one of both rolls has its
+// own books whole for those that need them.
+func TestTakingOverThatDiesAtEachSync(t *testing.T) {
+	items, claims := much()
+	next := codebook.Roll{Epoch: 2, Voters: voters, Was: voters}
+	h := handed{base: manifest.SetOf(items...), claims: claims, h: codebook.Handed{Estate: relief.Estate{Vouch: ballot.Vouch{By: 1, Incs: []uint64{1, 1, 1}},
+		Promised: manifest.Ballot{N: 9}, Accepted: manifest.Ballot{N: 9}, Chosen: manifest.Ballot{N: 9}}}}
+	older := items[0]
+	older.Version, older.Ballot.N = 1, 3
+	for _, kept := range []bool{false, true} {
+		for _, fails := range []bool{false, true} {
+			n, done := 0, false
+			for ; !done; n++ {
+				d := newDesk(t, Options{Bootstrap: kept, Found: voters})
+				d.as = hold.Empty
+				d.open()
+				d.settle()
+				state, own := Apart, 0
+				if kept {
+					state, own = Serving, 1
+					d.write([]hold.Put{putClaim("own", id(99)), putItem(older), putBallot("accepted", older.Ballot), putBallot("chosen", older.Ballot)}, func(error) {})
+					d.seal.Closed, d.sealed = true, true
+					d.write([]hold.Put{d.putSeal()}, func(error) {})
+					d.settle()
+					d.ledger.Claim(0, "own", id(99))
+				} else {
+					d.roll = codebook.Roll{Epoch: 1, Voters: []codebook.Voter{{Addr: "x:1"}, {Addr: "b:1"}, {Addr: "c:1"}}}
+					d.place()
+					d.paper.rows[tableMeta] = map[string][]byte{"roll": d.putRoll().Value, "incs": d.putIncs().Value}
+					d.set(Apart)
+				}
+				d.taking = true
+				d.inherit(next, []handed{h, h}, kept, nil)
+				var again *desk
+				if again, done = d.dies(t, n, fails); done {
+					if d.state != Serving || d.roll.Epoch != 2 || !d.inherited() {
+						t.Errorf("kept %v: %s in epoch %d after %d syncs", kept, d.state, d.roll.Epoch, n)
+					}
+					break
+				}
+				if again.state != state || again.roll.Epoch != 1 || again.taking {
+					t.Errorf("kept %v: %s in epoch %d after %d syncs", kept, again.state, again.roll.Epoch, n)
+				}
+				if rows := again.paper.rows; kept && (!again.sealed || len(rows[tableItems]) != 1 || rows[tableClaims]["own"] == nil || again.counts(1) == nil) {
+					t.Errorf("%d items on disk, sealed %v, after %d syncs", len(rows[tableItems]), again.sealed, n)
+				}
+				again.taking = true
+				left := again.left(t)
+				if kept {
+					left = nil
+				}
+				again.inherit(next, []handed{h, h}, kept, left)
+				again.settle()
+				if rows := again.paper.rows; again.state != Serving || again.roll.Epoch != 2 || len(rows[tableItems]) != len(items) || len(rows[tableClaims]) != len(claims)+own {
+					t.Errorf("kept %v: %s in epoch %d after %d syncs and another try, %d items, %d claims", kept, again.state, again.roll.Epoch, n, len(rows[tableItems]), len(rows[tableClaims]))
+				}
+			}
+			if n < 3 {
+				t.Errorf("kept %v: %d syncs only", kept, n)
+			}
+		}
+	}
+}
--- a/internal/purser/program.go
+++ b/internal/purser/program.go
@@ -7,6 +7,7 @@
 
 	"saltmast/internal/articles"
 	"saltmast/internal/codebook"
+	"saltmast/internal/hold"
 	"saltmast/internal/launch"
 	"saltmast/internal/sock"
 )
@@ -33,7 +34,7 @@
 	if s.DataDir == "" || s.Port(codebook.GatePort) == "" {
 		return r, fmt.Errorf("%s: data-directory and %d ephemeral-ports wanted", s.Path, codebook.GatePort+1)
 	}
-	o := Options{Addr: s.Port(codebook.PurserPort), Dir: s.DataDir, Zone: s.Zone, Bootstrap: s.Bootstrap,
+	o := Options{Addr: s.Port(codebook.PurserPort), Dir: s.DataDir, Zone: s.Zone, Bootstrap: s.Bootstrap, Quorum: s.QuorumMember,
 		Window: s.Bounds.DedupWindow + keyMargin, MaxBytes: int64(s.DiskMB * (1 << 20) / 2), First: s.Ports[0],
 		Net: on, Disk: disk, Log: log,
 		Seeds: func() (out []string) {
@@ -61,5 +62,5 @@
 func (r Running) Counts() map[string]int64 {
 	c, s := &r.P.Counts, r.P.Status()
 	return map[string]int64{"claims": c.Claims.Load(), "denied": c.Denied.Load(), "released": c.Released.Load(), "refused": c.Refused.Load(),
-		"accepts": c.Accepts.Load(), "prepares": c.Prepares.Load(), "watches": c.Watches.Load(), "keys": int64(s.Keys), "chosen": int64(s.Chosen.N)}
+		"accepts": c.Accepts.Load(), "prepares": c.Prepares.Load(), "commits": hold.Commits(), "watches": c.Watches.Load(), "keys": int64(s.Keys), "chosen": int64(s.Chosen.N)}
 }
--- a/internal/purser/purser.go
+++ b/internal/purser/purser.go
@@ -10,6 +10,7 @@
 	"net"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +31,7 @@
 	tableMeta   hold.Table = 1
 	tableItems  hold.Table = 2
 	tableClaims hold.Table = 3
+	tableDelta  hold.Table = 4 // what was accepted beside the items, in bundles
 )
 
 // State of a purser.
@@ -52,6 +54,7 @@
 	Bootstrap bool             // the very first start: Found counts from now on
 	Found     []codebook.Voter // who counts at the very first start
 	Seeds     func() []string  // where other pursers may be
+	Quorum    bool             // its machine is one whose loss is bounded
 	Window    time.Duration    // keys are kept for so long at least
 	MaxBytes  int64            // on disk
 	First     int              // the first of the free ports, on every machine; 0: no harbourmaster is asked
@@ -72,11 +75,13 @@
 	server *signal.Server
 	Counts Counts
 	ended  chan struct{}
+	disks  sync.WaitGroup // openings of the disk, and closings ahead of one
 	begin  func(hold.Options) (disk, hold.Start, error)
 	aside  func(func() func(*books))           // does what waits beside the owner's goroutine, and queues the command that it gives
 	later  func(func(*books))                  // queues a command from where nobody may wait
 	known  func(codebook.Roll) []codebook.Mark // asks harbourmasters what this member told last
 	marked atomic.Uint64                       // the last mark that is on disk
+	adrift atomic.Int64                        // writes of claims that failed: these may be held in memory alone
 	ailing atomic.Int64                        // since when, by books.now and plus one, each write failed that ended; 0: the last did not
 }
 
@@ -105,9 +110,11 @@
 	former    manifest.Ballot // the value accepted in a former epoch; zero: none
 	number    uint64          // of the disk, by which a roll names it; 0: it was never asked for
 	past      *past           // the books are of a former epoch
+	moored    int64           // of adrift, that a taking over has made up for
 	taking    bool            // books are being taken over
 	takers    []func(error)   // who hear of that
-	accepting bool            // a value is on its way to disk
+	accepting bool            // the register is on its way to disk
+	bundles   int             // of the delta, on disk
 	queued    []func(*books)
 	watchers  []*watcher
 	mustering bool
@@ -124,6 +131,7 @@
 type watcher struct {
 	c     signal.Call
 	w     codebook.WatchCall
+	came  time.Duration
 	timer *time.Timer // of its end
 	done  bool
 }
@@ -166,7 +174,11 @@
 	return h, start, nil
 }
 
-// Close ends it; what is queued for the disk is waited for.
+// closeAfter bounds how long Close waits for a disk that is being opened.
+const closeAfter = 5 * time.Second
+
+// Close ends it; what is queued for the disk is waited for, and so is a disk that is being opened: behind Close nothing of it
+// touches the folder any more, but for an ErrStalled.
 func (p *Purser) Close() error {
 	close(p.ended)
 	p.server.Close()
@@ -176,7 +188,14 @@
 	if disk != nil {
 		return disk.Close()
 	}
-	return nil
+	opened := make(chan struct{})
+	go func() { p.disks.Wait(); close(opened) }()
+	select {
+	case <-opened:
+		return nil
+	case <-time.After(closeAfter):
+		return fmt.Errorf("%w: it is being opened", hold.ErrStalled)
+	}
 }
 
 // Status is for the log and the console.
@@ -185,13 +204,14 @@
 	Keys   int
 	Chosen manifest.Ballot
 	Roll   codebook.Roll
+	Shut   bool // its epoch has ended here
 	Stall  time.Duration
 }
 
 // Status tells how it stands.
 func (p *Purser) Status() (s Status) {
 	p.own.Ask(func(b *books) {
-		s = Status{State: b.state, Keys: b.ledger.Len(), Chosen: b.acc.Chosen, Roll: b.roll}
+		s = Status{State: b.state, Keys: b.ledger.Len(), Chosen: b.acc.Chosen, Roll: b.roll, Shut: b.seal.Shut()}
 		if b.disk != nil {
 			s.Stall = b.disk.Stalled()
 		}
@@ -218,7 +238,7 @@
 
 // clear forgets what is kept on disk, other than the roll.
 func (b *books) clear() {
-	b.acc, b.ledger = ballot.NewAcceptor(), tally.NewLedger(b.p.o.Window)
+	b.acc, b.ledger, b.bundles = ballot.NewAcceptor(), tally.NewLedger(b.p.o.Window), 0
 }
 
 // forget forgets all that a disk told.
@@ -239,10 +259,11 @@
 //
 // The disk is waited for beside the owner's goroutine: one that hangs must not silence watches and reports.
 func (b *books) open() {
-	if b.opening {
+	if b.opening || b.closed {
 		return
 	}
 	b.opening = true
+	b.p.disks.Add(1)
 	p, begun := b.p, b.begun
 	p.aside(func() func(*books) {
 		disk, found, err := p.begin(hold.Options{Dir: p.o.Dir, MaxBytes: p.o.MaxBytes, Disk: p.o.Disk,
@@ -257,7 +278,10 @@
 				read.compare()
 			}
 		}
-		return func(b *books) { b.opened(read, found, err) }
+		return func(b *books) {
+			defer p.disks.Done()
+			b.opened(read, found, err)
+		}
 	})
 }
 
@@ -273,11 +297,12 @@
 		}
 		return
 	case b.closed:
-		go read.disk.Close()
+		read.disk.Close()
 		return
 	}
 	b.trouble = ""
 	b.disk, b.acc, b.ledger, b.roll, b.incs, b.me = read.disk, read.acc, read.ledger, read.roll, read.incs, read.me
+	b.bundles = read.bundles
 	b.seal, b.sealed, b.former, b.number, b.past = read.seal, read.seal.Shut() || read.past != nil, read.former, read.number, read.past
 	b.mark, b.markAt = read.mark, b.now()
 	b.p.marked.Store(b.mark)
@@ -354,6 +379,19 @@
 	return hold.Put{Table: tableMeta, Key: []byte(name), Value: signal.Encode(v)}
 }
 
+// putLayout tells that the items are a base, with what was accepted beside them. Before, they were what was accepted.
+var putLayout = hold.Put{Table: tableMeta, Key: []byte("layout"), Value: []byte{2}}
+
+// putBallots are all ballots of the register.
+func putBallots(a *ballot.Acceptor) []hold.Put {
+	puts := []hold.Put{putBallot("promised", a.Promised), putBallot("accepted", a.Accepted), putBallot("chosen", a.Chosen),
+		{Table: tableMeta, Key: []byte("target")}, putLayout}
+	if a.CatchesUp() {
+		puts[3] = putBallot("target", a.Target)
+	}
+	return puts
+}
+
 func (b *books) putRoll() hold.Put {
 	return hold.Put{Table: tableMeta, Key: []byte("roll"), Value: signal.Encode(b.roll)}
 }
@@ -368,6 +406,25 @@
 	return hold.Put{Table: tableItems, Key: itemKey(i.Key), Value: signal.Encode(i)}
 }
 
+// bundleBytes is about what one row of the delta has.
+const bundleBytes = 64 << 10
+
+// putDelta puts a delta in place of the one that is on disk, which may be none.
+func (b *books) putDelta(delta []manifest.Item) (puts []hold.Put, bundles int) {
+	for len(delta) > 0 {
+		n := 0
+		for size := 0; n < len(delta) && size < bundleBytes; n++ {
+			size += ballot.Size(delta[n])
+		}
+		puts = append(puts, hold.Put{Table: tableDelta, Key: binary.BigEndian.AppendUint16(nil, uint16(bundles)), Value: signal.Encode(delta[:n])})
+		delta, bundles = delta[n:], bundles+1
+	}
+	for i := bundles; i < b.bundles; i++ {
+		puts = append(puts, hold.Put{Table: tableDelta, Key: binary.BigEndian.AppendUint16(nil, uint16(i))})
+	}
+	return puts, bundles
+}
+
 func putClaim(key string, id tally.ID) hold.Put {
 	v := binary.BigEndian.AppendUint64(nil, id.Life)
 	v = binary.BigEndian.AppendUint64(v, id.N)
@@ -382,6 +439,7 @@
 }
 
 func (b *books) read() error {
+	layout := false
 	err := b.disk.Load(tableMeta, func(k, v []byte) error {
 		switch string(k) {
 		case "roll":
@@ -394,6 +452,10 @@
 			return signal.Decode(v, &b.acc.Accepted)
 		case "chosen":
 			return signal.Decode(v, &b.acc.Chosen)
+		case "layout":
+			layout = true
+		case "target":
+			return signal.Decode(v, &b.acc.Target)
 		case "mark":
 			return signal.Decode(v, &b.mark)
 		case "seal":
@@ -410,23 +472,38 @@
 	if err != nil {
 		return err
 	}
-	if b.acc.Promised.Less(b.acc.Accepted) { // the write of the promise had failed, that of its value had not
-		b.acc.Promised = b.acc.Accepted
+	for _, x := range []manifest.Ballot{b.acc.Accepted, b.acc.Target} {
+		if b.acc.Promised.Less(x) { // the write of the promise had failed, that of its value had not
+			b.acc.Promised = x
+		}
 	}
 	if err := b.disk.Load(tableItems, func(k, v []byte) error {
 		var i manifest.Item
-		if err := signal.Decode(v, &i); err != nil {
-			return err
+		err := signal.Decode(v, &i)
+		if err == nil {
+			b.acc.Stands = b.acc.Stands.With(i)
 		}
-		b.acc.Value[i.Key] = i
-		return nil
+		return err
+	}); err != nil {
+		return err
+	}
+	var delta []manifest.Item
+	if err := b.disk.Load(tableDelta, func(k, v []byte) error {
+		var bundle []manifest.Item
+		err := signal.Decode(v, &bundle)
+		delta, b.bundles = append(delta, bundle...), b.bundles+1
+		return err
 	}); err != nil {
 		return err
 	}
-	if b.acc.Chosen == b.acc.Accepted {
-		b.acc.Stands = b.acc.Value
-	} else { // what was chosen before is not kept: a round tells again
-		b.acc.Chosen = manifest.Ballot{}
+	if !b.acc.Accepted.IsZero() {
+		b.acc.Value = b.acc.Stands.With(delta...)
+	}
+	if !layout && b.acc.Accepted != b.acc.Chosen && len(b.incs) > 0 { // which items were chosen can't be told: it is made up for
+		b.place()
+		if b.me >= 0 {
+			b.incs[b.me] = 0
+		}
 	}
 	now := b.now()
 	return b.disk.Load(tableClaims, func(k, v []byte) error {
@@ -507,14 +584,16 @@
 	b.p.ailing.Store(0)
 	b.disk, b.used, b.opening = nil, true, true
 	b.set(NoDisk)
-	b.p.aside(func() func(*books) {
+	p := b.p
+	p.disks.Add(1)
+	p.aside(func() func(*books) {
 		if err := old.Close(); err != nil {
-			b.p.o.Log("disk", err.Error())
+			p.o.Log("disk", err.Error())
 		}
 		return func(b *books) {
-			if b.opening = false; !b.closed {
-				b.open()
-			}
+			defer p.disks.Done()
+			b.opening = false
+			b.open()
 		}
 	})
 }
@@ -540,6 +619,8 @@
 		return with(c, b.accept)
 	case codebook.Learn:
 		return with(c, b.learn)
+	case codebook.Turn:
+		return with(c, b.turn)
 	case codebook.Watch:
 		return with(c, b.watch)
 	case codebook.Claim:
@@ -611,13 +692,23 @@
 		b.queued = append(b.queued, func(b *books) { b.again(c, b.prepare(c, m)) })
 		return nil
 	}
-	given := b.acc.Prepare(m.B)
-	answer := ballot.Promise{Vouch: b.vouch(), Given: given, Promised: b.acc.Promised, Accepted: b.acc.Accepted}
-	if !given {
-		c.Reply(answer, nil)
+	if b.acc.Learns(m.Have) { // first, so that what is to be told and kept beside it stays small
+		b.fold(m.Have, func(b *books, err error) {
+			if err == nil {
+				err = b.prepare(c, m)
+			} else {
+				err = plight.New(plight.DiskOut, "%w", err)
+			}
+			b.again(c, err)
+		})
 		return nil
 	}
-	answer.Items, answer.Former = all(b.acc.Value), b.inherited()
+	if !b.acc.Prepare(m.B) {
+		c.Reply(ballot.Promise{Vouch: b.vouch(), Promised: b.acc.Promised, Accepted: b.acc.Accepted}, nil)
+		return nil
+	}
+	answer := b.acc.Promise(b.vouch(), m.Have)
+	answer.Former = b.inherited()
 	b.write([]hold.Put{putBallot("promised", m.B)}, func(err error) { reply(c, answer, err) })
 	return nil
 }
@@ -628,14 +719,6 @@
 	}
 }
 
-func all(s manifest.Set) []manifest.Item {
-	out := make([]manifest.Item, 0, len(s))
-	for _, i := range s {
-		out = append(out, i)
-	}
-	return out
-}
-
 // reply answers once the disk has, from whatever goroutine.
 func reply(c signal.Call, v any, err error) {
 	if err != nil {
@@ -654,45 +737,38 @@
 		b.queued = append(b.queued, func(b *books) { b.again(c, b.accept(c, m)) })
 		return nil
 	}
-	may := b.acc.May(m.B, m.Base)
-	if m.Chosen { // whatever was promised: a round that was promised more finds this value with another member, or this one
-		may = b.acc.Accepted.Less(m.B) && m.Base.IsZero()
-	}
-	if !may {
-		c.Reply(codebook.Accepted{Vouch: b.vouch(), Promised: b.acc.Promised, Accepted: b.acc.Accepted}, nil)
+	if !b.acc.May(m.B, m.Base) {
+		c.Reply(b.accepted(false), nil)
 		return nil
 	}
-	next := b.acc.Next(m.Changes, m.Base.IsZero())
-	puts := []hold.Put{putBallot("accepted", m.B)}
+	delta := b.acc.Delta(m.Changes)
+	puts, bundles := b.putDelta(delta)
+	puts = append(puts, putBallot("accepted", m.B), putLayout)
 	if b.acc.Promised.Less(m.B) {
 		puts = append(puts, putBallot("promised", m.B))
 	}
-	if m.Chosen {
-		puts = append(puts, putBallot("chosen", m.B))
-	}
-	for k, i := range next {
-		if old, ok := b.acc.Value[k]; !ok || old.Version != i.Version || old.Ballot != i.Ballot {
-			puts = append(puts, putItem(i))
-		}
-	}
-	for k := range b.acc.Value {
-		if _, ok := next[k]; !ok {
-			puts = append(puts, hold.Put{Table: tableItems, Key: itemKey(k)})
+	b.alter(puts, func(b *books, err error) {
+		if err == nil {
+			b.acc.Accept(m.B, delta)
+			b.bundles = bundles
 		}
-	}
-	answer := codebook.Accepted{Vouch: b.vouch(), Taken: true, Accepted: m.B}
+		reply(c, b.accepted(true), err)
+	})
+	return nil
+}
+
+// accepted answers who brought a part of the register.
+func (b *books) accepted(taken bool) codebook.Accepted {
+	return codebook.Accepted{Vouch: b.vouch(), Taken: taken, Promised: b.acc.Promised, Accepted: b.acc.Accepted, Chosen: b.acc.Chosen}
+}
+
+// alter writes a change of the register, and takes it once it is on disk. What comes meanwhile waits.
+func (b *books) alter(puts []hold.Put, taken func(*books, error)) {
 	b.accepting = true
 	b.write(puts, func(err error) {
 		b.p.later(func(b *books) {
 			b.accepting = false
-			if err == nil {
-				b.acc.Accept(m.B, next)
-				if m.Chosen {
-					b.acc.Learn(m.B)
-				}
-				b.wake()
-			}
-			reply(c, answer, err)
+			taken(b, err)
 			queued := b.queued
 			b.queued = nil
 			for _, f := range queued {
@@ -700,7 +776,24 @@
 			}
 		})
 	})
-	return nil
+}
+
+// fold makes the value that was accepted the base, as it was chosen.
+func (b *books) fold(of manifest.Ballot, done func(*books, error)) {
+	puts, _ := b.putDelta(nil)
+	for i := range b.acc.Value.Since(b.acc.Chosen) {
+		puts = append(puts, putItem(i))
+	}
+	was := b.acc.CatchesUp() // what it lacked may have come with what was proposed
+	puts = append(puts, putBallot("chosen", of), hold.Put{Table: tableMeta, Key: []byte("target")})
+	b.alter(puts, func(b *books, err error) {
+		if err == nil && b.acc.Learn(of) { // else whoever asks next tells again
+			b.bundles = 0
+			b.caught(was)
+			b.wake()
+		}
+		done(b, err)
+	})
 }
 
 func (b *books) learn(c signal.Call, m codebook.LearnCall) error {
@@ -708,25 +801,68 @@
 		b.queued = append(b.queued, func(b *books) { b.again(c, b.learn(c, m)) })
 		return nil
 	}
-	if b.acc.Learn(m.B) {
-		b.write([]hold.Put{putBallot("chosen", m.B)}, func(error) {}) // a hint: a round tells again what it loses
-		b.wake()
+	c.Reply(b.accepted(b.acc.Accepted == m.B), nil)
+	if b.acc.Learns(m.B) && b.state == Serving && !b.taking { // else the register is being replaced
+		b.fold(m.B, func(*books, error) {})
+	}
+	return nil
+}
+
+// turn takes a page of a chosen value that this member missed.
+func (b *books) turn(c signal.Call, m codebook.TurnCall) error {
+	if err := b.counts(m.Epoch); err != nil {
+		return err
+	}
+	if b.accepting {
+		b.queued = append(b.queued, func(b *books) { b.again(c, b.turn(c, m)) })
+		return nil
+	}
+	if !b.acc.Turns(m.Page) {
+		c.Reply(b.accepted(false), nil)
+		return nil
+	}
+	was := b.acc.CatchesUp()
+	next := *b.acc
+	next.Turn(m.Page)
+	puts, _ := b.putDelta(nil)
+	for _, i := range m.Page.News(b.acc.Stands) {
+		puts = append(puts, putItem(i))
 	}
-	c.Reply(codebook.Accepted{Vouch: b.vouch(), Taken: b.acc.Accepted == m.B, Accepted: b.acc.Accepted}, nil)
+	puts = append(puts, putBallots(&next)...)
+	b.alter(puts, func(b *books, err error) {
+		if err == nil {
+			b.acc.Turn(m.Page)
+			b.bundles = 0
+			b.caught(was)
+			b.wake()
+		}
+		reply(c, b.accepted(true), err)
+	})
 	return nil
 }
 
+// caught logs the begin and the end of catching up. was: whether it did before.
+func (b *books) caught(was bool) {
+	if is := b.acc.CatchesUp(); is != was {
+		b.p.o.Log("register", fmt.Sprintf("catching up %v: all up to ballot %d of %d", is, b.acc.Chosen.N, b.acc.Target.N))
+	}
+}
+
 func (b *books) watched(have manifest.Ballot) codebook.Watched {
-	return codebook.Watched{Vouch: b.vouch(), Promised: b.acc.Promised, Accepted: b.acc.Accepted, Chosen: b.acc.Chosen,
-		Items: ballot.Since(b.acc.Stands, have), Roll: b.roll, State: string(b.state), Keys: b.ledger.Len(), Shut: b.seal.Shut(),
-		Mark: b.p.marked.Load()}
+	w := codebook.Watched{Vouch: b.vouch(), Promised: b.acc.Promised, Accepted: b.acc.Accepted, Chosen: b.acc.Chosen,
+		Known: b.acc.Known(), Roll: b.roll, State: string(b.state), Keys: b.ledger.Len(), Shut: b.seal.Shut(), Mark: b.p.marked.Load()}
+	if have.Less(b.acc.Chosen) && !b.acc.CatchesUp() {
+		p := ballot.PageOf(b.acc.Stands, b.acc.Chosen, have)
+		w.Items, w.From, w.Upto = p.Items, p.From, p.Upto
+	}
+	return w
 }
 
 // watch answers at once where there is news, and else when there is some or the time is up. A member that may not speak as
 // one says so by its state.
 func (b *books) watch(c signal.Call, m codebook.WatchCall) error {
 	b.p.Counts.Watches.Add(1)
-	w := &watcher{c: c, w: m}
+	w := &watcher{c: c, w: m, came: b.now()}
 	if m.HoldMs == 0 || b.news(w) {
 		c.Reply(b.watched(m.Have), nil)
 		return nil
@@ -739,7 +875,7 @@
 }
 
 func (b *books) news(w *watcher) bool {
-	return w.w.Have.Less(b.acc.Chosen) || w.w.Epoch < b.roll.Epoch
+	return w.w.Have.Less(b.acc.Chosen) && !b.acc.CatchesUp() || w.w.Epoch < b.roll.Epoch || w.w.Open && b.sealed
 }
 
 func (b *books) answer(w *watcher) {
@@ -747,7 +883,9 @@
 		w.done = true
 		w.timer.Stop()
 		b.watchers = slices.DeleteFunc(b.watchers, func(o *watcher) bool { return o == w })
-		w.c.Reply(b.watched(w.w.Have), nil)
+		told := b.watched(w.w.Have)
+		told.HeldMs = uint32((b.now() - w.came).Milliseconds())
+		w.c.Reply(told, nil)
 	}
 }
 
@@ -777,7 +915,12 @@
 	default:
 		// One that comes again is written again: the first may still be on its way to disk. One whose write failed stays held:
 		// it may come again meanwhile, and a claimant that does not get the key gives it back by itself.
-		b.write([]hold.Put{putClaim(m.Key, m.ID)}, func(err error) { reply(c, answer, err) })
+		b.write([]hold.Put{putClaim(m.Key, m.ID)}, func(err error) {
+			if err != nil {
+				b.p.adrift.Add(1)
+			}
+			reply(c, answer, err)
+		})
 	}
 	return nil
 }
--- a/internal/purser/purser_test.go
+++ b/internal/purser/purser_test.go
@@ -241,15 +241,15 @@
 	d.roll = codebook.Roll{Epoch: 1, Voters: voters}
 	d.place()
 	d.set(Repairing)
-	m := mustered{m: codebook.Mustered{Vouch: ballot.Vouch{By: 1, Incs: []uint64{2, 1, 1}}}}
+	one := manifest.Ballot{N: 1}
+	m := mustered{m: codebook.Mustered{Vouch: ballot.Vouch{By: 1, Incs: []uint64{2, 1, 1}}, Accepted: one, Chosen: one, Base: one, Upto: one}}
 	const keys, items = 60000, 1500
 	for i := range keys {
 		m.claims = append(m.claims, codebook.ClaimCall{Key: fmt.Sprintf("key-of-some-length-%040d", i), ID: id(uint64(i + 1))})
 	}
 	for i := range items {
-		m.m.Items = append(m.m.Items, manifest.Item{Key: manifest.Key{Kind: manifest.Routes, Name: fmt.Sprint(i)}, Version: 1, Spec: make([]byte, 1000)})
+		m.base = m.base.With(manifest.Item{Key: manifest.Key{Kind: manifest.Routes, Name: fmt.Sprint(i)}, Version: 1, Ballot: one, Spec: make([]byte, 1000)})
 	}
-	m.m.Accepted = manifest.Ballot{N: 1}
 	d.restore(2, []mustered{m}, d.left(t))
 	d.settle()
 	if d.state != Serving || len(d.paper.rows[tableClaims]) != keys || len(d.paper.rows[tableItems]) != items {
@@ -380,7 +380,13 @@
 		return manifest.Item{Key: manifest.Key{Kind: manifest.Limits}, Version: v, Ballot: manifest.Ballot{N: b}, Spec: []byte("{}")}
 	}
 	accept := func(b uint64, chosen bool) (a codebook.Accepted) {
-		r := d.call(codebook.Accept, codebook.AcceptCall{B: manifest.Ballot{N: b}, Changes: []manifest.Item{item(manifest.Version(b), b)}, Epoch: 1, Chosen: chosen})
+		x := manifest.Ballot{N: b}
+		changes := []manifest.Item{item(manifest.Version(b), b)}
+		kind, v := codebook.Accept, any(codebook.AcceptCall{B: x, Changes: changes, Epoch: 1})
+		if chosen {
+			kind, v = codebook.Turn, codebook.TurnCall{Page: ballot.Page{Upto: x, Target: x, Items: changes}, Epoch: 1}
+		}
+		r := d.call(kind, v)
 		d.settle()
 		if r.n != 1 || r.err != nil || signal.Decode(r.body, &a) != nil {
 			t.Fatalf("%d answers, %v", r.n, r.err)
--- a/internal/purser/relief.go
+++ b/internal/purser/relief.go
@@ -1,6 +1,7 @@
 package purser
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -46,7 +47,7 @@
 
 // ready tells how it stands, before a change of the roll.
 func (b *books) ready(c signal.Call, m codebook.ReadyCall) error {
-	r := codebook.Readied{State: string(b.state), Epoch: b.roll.Epoch}
+	r := codebook.Readied{State: string(b.state), Epoch: b.roll.Epoch, Quorum: b.p.o.Quorum}
 	if b.state != Serving && b.state != Apart || b.disk.Stalled() > stalledAfter {
 		c.Reply(r, nil)
 		return nil
@@ -92,6 +93,7 @@
 			if err == nil && m.Next != nil && b.roll.Epoch == epoch && b.seal.Shut() && !b.sealed {
 				b.sealed = true
 				b.p.o.Log("roll", fmt.Sprintf("epoch %d has ended here", epoch))
+				b.wake()
 			}
 			reply(c, answer, err)
 		})
@@ -169,8 +171,11 @@
 
 // handover tells the books of the epoch before the one named to a voter that takes over.
 func (b *books) handover(c signal.Call, m codebook.HandoverCall) error {
-	e := relief.Estate{Vouch: b.vouch(), Promised: b.acc.Promised, Accepted: b.acc.Accepted, Chosen: b.acc.Chosen}
+	r := b.register(m.Have)
+	e := relief.Estate{Vouch: b.vouch(), Promised: b.acc.Promised, Accepted: b.acc.Accepted, Chosen: r.chosen}
 	switch {
+	case b.state == Serving && b.roll.Epoch == m.Epoch && b.acc.CatchesUp(): // its books alone would not do
+		return plight.New(plight.Repairing, "")
 	case b.state == Serving && b.roll.Epoch == m.Epoch:
 		e.Holds = true
 	case b.state == Serving && b.roll.Epoch+1 == m.Epoch && b.sealed:
@@ -179,11 +184,10 @@
 	default:
 		return plight.New(plight.Gone, "epoch %d, here %d", m.Epoch, b.roll.Epoch)
 	}
-	h := codebook.Handed{Estate: e, Former: b.inherited()}
-	if m.From == "" {
-		h.Items = all(b.acc.Value)
+	h := codebook.Handed{Estate: e, Former: b.inherited(), Items: r.items, Upto: r.upto, Base: r.base, Delta: r.delta}
+	if h.Upto == h.Base {
+		h.Claims, h.More = b.page(m.From)
 	}
-	h.Claims, h.More = b.page(m.From)
 	c.Reply(h, nil)
 	return nil
 }
@@ -229,8 +233,15 @@
 	})
 }
 
+// handed is what one voter handed over.
+type handed struct {
+	h      codebook.Handed // the last part
+	base   manifest.Set    // the value of h.Base
+	claims []codebook.ClaimCall
+}
+
 // inherit asks for books, until there are enough of them.
-func (p *Purser) inherit(r codebook.Roll) (got []codebook.Handed, err error) {
+func (p *Purser) inherit(r codebook.Roll) (got []handed, err error) {
 	var addrs []string
 	for _, v := range append(slices.Clone(r.Was), r.Voters...) {
 		if !slices.Contains(addrs, v.Addr) {
@@ -243,11 +254,11 @@
 		err  error
 	}
 	ch := make(chan told, len(addrs))
-	ask := func(addr, from string) (t told) {
+	ask := func(addr, from string, have manifest.Ballot) (t told) {
 		c := signal.NewClient(p.o.Net, addr)
 		defer c.Close()
 		t.addr = addr
-		t.err = c.Call(codebook.Handover, codebook.HandoverCall{Epoch: r.Epoch, From: from}, &t.h, handTime)
+		t.err = c.Call(codebook.Handover, codebook.HandoverCall{Epoch: r.Epoch, From: from, Have: have}, &t.h, handTime)
 		return t
 	}
 	stop := make(chan struct{})
@@ -256,7 +267,7 @@
 	for _, a := range addrs {
 		go func() {
 			for {
-				t := ask(a, "")
+				t := ask(a, "", manifest.Ballot{})
 				if t.err == nil || plight.Of(t.err) != plight.Gone || time.Now().After(end) {
 					ch <- t
 					return
@@ -287,96 +298,180 @@
 	}
 	for _, i := range take {
 		h := all[i].h
-		for more := h; more.More; {
-			t := ask(all[i].addr, more.Claims[len(more.Claims)-1].Key)
+		o := handed{h, manifest.SetOf(h.Items...), h.Claims}
+		for h.More || h.Upto != h.Base {
+			from := ""
+			if h.More {
+				from = h.Claims[len(h.Claims)-1].Key
+			}
+			t := ask(all[i].addr, from, h.Upto)
 			if t.err != nil {
 				return nil, t.err
 			}
-			if more = t.h; more.Estate.Holds != h.Estate.Holds || !slices.Equal(more.Estate.Vouch.Incs, h.Estate.Vouch.Incs) {
+			was := h.Estate
+			if h = t.h; h.Estate.Holds != was.Holds || !slices.Equal(h.Estate.Vouch.Incs, was.Vouch.Incs) ||
+				!pursues(h.Estate.Chosen, h.Estate.Accepted, was.Chosen, was.Accepted) {
 				return nil, errors.New("it took over, or lost its disk, while it handed over")
 			}
-			h.Claims = append(h.Claims, more.Claims...)
+			o = handed{h, o.base.With(h.Items...), append(o.claims, h.Claims...)}
 		}
-		got = append(got, h)
+		got = append(got, o)
 	}
 	return got, nil
 }
 
-// inherit puts what was handed over on disk. A voter of both rolls keeps its own books whole until the last write, since
-// others may need them: claims are only added, and the register changes in one write with the roll.
-func (b *books) inherit(r codebook.Roll, got []codebook.Handed, kept bool, left []hold.Put) {
+// inherit puts what was handed over on disk. A voter of both rolls keeps what others may need of its own books until the last
+// write: claims are only added, and the register changes in one write with the roll, unless it lacks much. Then it is one that
+// catches up until then, which is no loss to others: what it lacks is chosen, and lives with a majority without it.
+func (b *books) inherit(r codebook.Roll, got []handed, kept bool, left []hold.Put) {
 	estates, take := make([]relief.Estate, len(got)), make([]int, len(got))
-	for i, h := range got {
-		estates[i], take[i] = h.Estate, i
+	acc := ballot.NewAcceptor()
+	for i, o := range got {
+		estates[i], take[i] = o.h.Estate, i
+		if c := o.h.Estate.Chosen; acc.Chosen.Less(c) {
+			acc.Chosen, acc.Stands = c, o.base
+		}
 	}
-	promised, accepted, chosen, at := relief.Inherit(estates, take)
+	var at int
+	acc.Promised, acc.Accepted, _, at = relief.Inherit(estates, take)
+	delta := ballot.Since(got[at].base.With(got[at].h.Delta...), acc.Chosen)
+	acc.Value = acc.Stands.With(delta...)
 	if !kept {
 		b.past, b.seal, b.sealed = nil, relief.Seal{}, false
 		b.clear()
 		left = append(b.putChange(), left...)
 	}
-	puts := left
-	for _, h := range got {
-		for _, c := range h.Claims {
-			if id, news := b.ledger.Restore(b.now(), c.Key, c.ID); news {
-				puts = append(puts, putClaim(c.Key, id))
+	adrift := b.p.adrift.Load() // whatever is told is written again then
+	var claims []hold.Put
+	for _, o := range got {
+		for _, c := range o.claims {
+			if id, news := b.ledger.Restore(b.now(), c.Key, c.ID); news || adrift != b.moored {
+				claims = append(claims, putClaim(c.Key, id))
 			}
 		}
 	}
-	acc := ballot.NewAcceptor()
-	for _, i := range got[at].Items {
-		acc.Value[i.Key] = i
-	}
-	acc.Promised, acc.Accepted = promised, accepted
-	acc.Learn(chosen)
 	var items []hold.Put
-	for k, i := range acc.Value {
-		if old, ok := b.acc.Value[k]; !ok || old.Version != i.Version || old.Ballot != i.Ballot {
-			items = append(items, putItem(i))
+	size := 0
+	put := func(p hold.Put) {
+		items = append(items, p)
+		size += len(p.Key) + len(p.Value)
+	}
+	for i := range acc.Stands.All() {
+		if old, ok := b.acc.Stands.Get(i.Key); !ok || old.Version != i.Version || old.Ballot != i.Ballot {
+			put(putItem(i))
 		}
 	}
-	for k := range b.acc.Value {
-		if _, ok := acc.Value[k]; !ok {
-			items = append(items, hold.Put{Table: tableItems, Key: itemKey(k)})
+	for i := range b.acc.Stands.All() {
+		if _, ok := acc.Stands.Get(i.Key); !ok {
+			put(hold.Put{Table: tableItems, Key: itemKey(i.Key)})
 		}
 	}
-	if !kept { // nobody needs what is there: it comes to disk in parts
-		puts, items = append(puts, items...), nil
+	bundles, n := b.putDelta(delta)
+	for _, p := range bundles {
+		put(p)
 	}
-	former := accepted
-	if e := estates[at]; e.Holds && !got[at].Former {
+	former := acc.Accepted
+	if e := estates[at]; e.Holds && !got[at].h.Former {
 		former = manifest.Ballot{}
 	}
-	last := func(b *books) {
+	last := func(b *books, puts []hold.Put) {
 		next := &books{p: b.p, roll: r, former: former}
 		next.place()
 		for i := range next.incs {
 			next.incs[i] = 1
 		}
-		end := append(items, putBallot("promised", promised), putBallot("accepted", accepted), putBallot("chosen", acc.Chosen))
+		end := append(puts, putBallots(acc)...)
 		end = append(append(end, next.putChange()...), next.putRoll(), next.putIncs())
 		b.write(end, func(err error) {
 			b.p.later(func(b *books) {
 				if err == nil {
-					b.acc, b.former, b.past, b.seal, b.sealed = acc, former, nil, relief.Seal{}, false
+					b.acc, b.bundles, b.former, b.past, b.seal, b.sealed = acc, n, former, nil, relief.Seal{}, false
 					b.roll, b.incs, b.me = r, next.incs, next.me
 					b.duties = duty.NewLedger(b.now()) // what the old epoch granted comes to its end first
-					b.p.o.Log("roll", fmt.Sprintf("epoch %d: took over from %d, %d items, %d keys", r.Epoch, len(got), len(acc.Value), b.ledger.Len()))
+					b.p.o.Log("roll", fmt.Sprintf("epoch %d: took over from %d, %d items, %d keys", r.Epoch, len(got), acc.Value.Len(), b.ledger.Len()))
 				}
 				b.taken(r, err)
 			})
 		})
 	}
-	if len(puts) == 0 {
-		last(b)
-		return
-	}
-	b.save(puts, func(b *books, err error) {
-		if err != nil {
-			b.taken(r, err)
+	parts := func(puts []hold.Put, then func(*books)) {
+		if len(puts) == 0 {
+			b.moored = adrift
+			then(b)
 			return
 		}
-		last(b)
+		b.save(puts, func(b *books, err error) {
+			if err != nil {
+				b.p.adrift.Add(1)
+				b.taken(r, err)
+				return
+			}
+			b.moored = adrift
+			then(b)
+		})
+	}
+	target := acc.Chosen
+	if target.Less(b.acc.Target) {
+		target = b.acc.Target
+	}
+	switch {
+	case !kept: // nobody needs what is there
+		parts(append(append(left, claims...), items...), func(b *books) { last(b, nil) })
+	case size <= atOnce || !b.acc.Accepted.Less(target):
+		parts(claims, func(b *books) { last(b, items) })
+	default:
+		parts(claims, func(b *books) {
+			b.empty(target, n, func(b *books, err error) {
+				if err != nil {
+					b.taken(r, err)
+					return
+				}
+				d := b.disk
+				b.p.aside(func() func(*books) {
+					stale, err := load(d, tableItems, tableDelta)
+					return func(b *books) {
+						if err != nil || b.disk == nil {
+							b.taken(r, cmp.Or(err, hold.ErrDisk))
+							return
+						}
+						for i := range acc.Stands.All() {
+							stale = append(stale, putItem(i))
+						}
+						for _, p := range bundles {
+							if p.Value != nil {
+								stale = append(stale, p)
+							}
+						}
+						b.save(stale, func(b *books, err error) {
+							if err != nil {
+								b.taken(r, err)
+								return
+							}
+							last(b, nil)
+						})
+					}
+				})
+			})
+		})
+	}
+}
+
+// atOnce bounds what a voter of both rolls changes of its register in one write.
+const atOnce = hold.MaxWrite - 64<<10
+
+// empty makes this member one that holds nothing yet of a chosen value, higher than what it accepted. n: bundles of the delta
+// that will come to disk.
+func (b *books) empty(target manifest.Ballot, n int, done func(*books, error)) {
+	acc := ballot.NewAcceptor()
+	acc.Promised, acc.Target = b.acc.Promised, target
+	if acc.Promised.Less(target) {
+		acc.Promised = target
+	}
+	b.alter(putBallots(acc), func(b *books, err error) {
+		if err == nil {
+			b.acc, b.bundles = acc, max(n, b.bundles)
+		}
+		done(b, err)
 	})
 }
 
