--- a/internal/purser/repair.go
+++ b/internal/purser/repair.go
@@ -23,8 +23,9 @@
 
 // mustered is what one other told.
 type mustered struct {
-	m      codebook.Mustered
+	m      codebook.Mustered // the last part
 	claims []codebook.ClaimCall
+	base   manifest.Set // the value of m.Base
 }
 
 const (
@@ -72,19 +73,47 @@
 
 // tell is all that is held, the claims in parts by the order of their keys.
 func (b *books) tell(m codebook.MusterCall) codebook.Mustered {
-	t := codebook.Mustered{Vouch: b.vouch(), Roll: b.roll, Promised: b.acc.Promised, Accepted: b.acc.Accepted, Chosen: b.acc.Chosen,
-		Former: b.inherited()}
+	r := b.register(m.Have)
+	t := codebook.Mustered{Vouch: b.vouch(), Roll: b.roll, Promised: b.acc.Promised, Accepted: b.acc.Accepted, Chosen: r.chosen,
+		Items: r.items, Upto: r.upto, Base: r.base, Delta: r.delta, Former: b.inherited()}
 	if b.seal.Shut() || !b.seal.Promised.IsZero() {
 		s := b.seal
 		t.Seal = &s
 	}
-	if m.From == "" {
-		t.Items = all(b.acc.Value)
+	if t.Upto == t.Base {
+		t.Claims, t.More = b.page(m.From)
 	}
-	t.Claims, t.More = b.page(m.From)
 	return t
 }
 
+// register is a part of the register, as it is told to a member that takes it over.
+type register struct {
+	chosen manifest.Ballot // of the base; zero: it was accepted alone
+	base   manifest.Ballot
+	upto   manifest.Ballot
+	items  []manifest.Item // of the base, of ballots up to that
+	delta  []manifest.Item // of the accepted value, after the base, with the last part
+}
+
+// register is the part with the items of ballots after have. A member that catches up holds no chosen value.
+func (b *books) register(have manifest.Ballot) (r register) {
+	from := b.acc.Stands
+	if r.chosen, r.base = b.acc.Chosen, b.acc.Chosen; b.acc.CatchesUp() {
+		r.chosen, r.base, from = manifest.Ballot{}, b.acc.Accepted, b.acc.Value
+	}
+	p := ballot.PageOf(from, r.base, have)
+	if r.items, r.upto = p.Items, p.Upto; r.upto == r.base {
+		r.delta = ballot.Since(b.acc.Value, r.base)
+	}
+	return r
+}
+
+// pursues reports whether a part of a register goes on where the one before it has ended: of what was accepted alone, the parts
+// have to be of one value.
+func pursues(chosen, accepted, wasChosen, wasAccepted manifest.Ballot) bool {
+	return !wasChosen.IsZero() && !chosen.IsZero() || chosen == wasChosen && accepted == wasAccepted
+}
+
 // page is a part of the claims, of keys after from.
 func (b *books) page(from string) (claims []codebook.ClaimCall, more bool) {
 	b.ledger.All(func(key string, id tally.ID) {
@@ -228,18 +257,25 @@
 	var got []mustered
 	first, from := ask[codebook.Mustered](p, addrs, codebook.Muster, codebook.MusterCall{Addr: p.o.Addr, Inc: inc}, musterTime)
 	for i, m := range first {
-		one := mustered{m: m, claims: m.Claims}
-		for m.More {
-			c := signal.NewClient(p.o.Net, from[i])
-			call := codebook.MusterCall{Addr: p.o.Addr, Inc: inc, From: m.Claims[len(m.Claims)-1].Key}
+		one := mustered{m: m, claims: m.Claims, base: manifest.SetOf(m.Items...)}
+		c := signal.NewClient(p.o.Net, from[i])
+		for m.More || m.Upto != m.Base {
+			call := codebook.MusterCall{Addr: p.o.Addr, Inc: inc, Have: m.Upto}
+			if m.More {
+				call.From = m.Claims[len(m.Claims)-1].Key
+			}
 			m = codebook.Mustered{}
-			err := c.Call(codebook.Muster, call, &m, musterTime)
-			c.Close()
-			if err != nil {
+			if err := c.Call(codebook.Muster, call, &m, musterTime); err != nil {
+				c.Close()
 				return nil
 			}
-			one.claims = append(one.claims, m.Claims...)
+			if !pursues(m.Chosen, m.Accepted, one.m.Chosen, one.m.Accepted) {
+				c.Close()
+				return nil
+			}
+			one.m, one.claims, one.base = m, append(one.claims, m.Claims...), one.base.With(m.Items...)
 		}
+		c.Close()
 		if m.Vouch.By >= 0 && m.Roll.Epoch == roll.Epoch {
 			got = append(got, one)
 		}
@@ -266,6 +302,7 @@
 	incs := make([]uint64, len(b.roll.Voters))
 	incs[b.me] = inc
 	voted := false // somebody accepted the value in this epoch
+	var value manifest.Set
 	for _, g := range got {
 		for i, k := range g.m.Vouch.Incs {
 			if i < len(incs) && i != b.me {
@@ -275,12 +312,12 @@
 		if b.acc.Promised.Less(g.m.Promised) {
 			b.acc.Promised = g.m.Promised
 		}
+		if b.acc.Chosen.Less(g.m.Chosen) {
+			b.acc.Chosen, b.acc.Stands = g.m.Chosen, g.base
+		}
 		if b.acc.Accepted.Less(g.m.Accepted) {
 			b.acc.Accepted, voted = g.m.Accepted, false
-			b.acc.Value = manifest.Set{}
-			for _, i := range g.m.Items {
-				b.acc.Value[i.Key] = i
-			}
+			value = g.base.With(g.m.Delta...)
 		}
 		voted = voted || g.m.Accepted == b.acc.Accepted && !g.m.Former
 		if g.m.Seal != nil {
@@ -293,13 +330,12 @@
 	if !voted {
 		b.former = b.acc.Accepted
 	}
-	for _, g := range got {
-		if g.m.Chosen == b.acc.Accepted {
-			b.acc.Learn(g.m.Chosen)
-		}
-	}
-	puts := []hold.Put{putBallot("promised", b.acc.Promised), putBallot("accepted", b.acc.Accepted), putBallot("chosen", b.acc.Chosen)}
-	for _, i := range b.acc.Value {
+	delta := ballot.Since(value, b.acc.Chosen)
+	b.acc.Value = b.acc.Stands.With(delta...)
+	puts, bundles := b.putDelta(delta)
+	b.bundles = bundles
+	puts = append(puts, putBallots(b.acc)...)
+	for i := range b.acc.Stands.All() {
 		puts = append(puts, putItem(i))
 	}
 	b.ledger.All(func(key string, id tally.ID) { puts = append(puts, putClaim(key, id)) })
@@ -319,15 +355,17 @@
 		}
 		b.incs, b.sealed = incs, b.seal.Shut()
 		b.set(Serving)
-		b.p.o.Log("repair", fmt.Sprintf("made up for by %d others: incarnation %d, %d items, %d keys", len(got), inc, len(b.acc.Value), b.ledger.Len()))
+		b.p.o.Log("repair", fmt.Sprintf("made up for by %d others: incarnation %d, %d items, %d keys", len(got), inc, b.acc.Value.Len(), b.ledger.Len()))
 		b.wake()
 	})
 }
 
 // leftovers are the deletions of all items and claims on disk: of a repair that died. It waits for the disk, and is not for the
 // owner's goroutine.
-func leftovers(d disk) (out []hold.Put, err error) {
-	for _, t := range []hold.Table{tableItems, tableClaims} {
+func leftovers(d disk) ([]hold.Put, error) { return load(d, tableItems, tableDelta, tableClaims) }
+
+func load(d disk, tables ...hold.Table) (out []hold.Put, err error) {
+	for _, t := range tables {
 		err = errors.Join(err, d.Load(t, func(k, _ []byte) error {
 			out = append(out, hold.Put{Table: t, Key: k})
 			return nil
--- a/internal/purser/report.go
+++ b/internal/purser/report.go
@@ -15,7 +15,7 @@
 	p, roll, me := b.p, b.roll, b.me
 	r := codebook.Reported{Program: codebook.ThePurser, Version: launch.Version, Zone: p.o.Zone, Addr: p.o.Addr, UpMs: uint64(b.now().Milliseconds()),
 		Chosen: b.acc.Chosen, Epoch: roll.Epoch, Voters: roll.Voters}
-	own := &codebook.PurserReport{State: string(b.state), Place: me, Incs: slices.Clone(b.incs), Promised: b.acc.Promised,
+	own := &codebook.PurserReport{State: b.standing(), Place: me, Incs: slices.Clone(b.incs), Promised: b.acc.Promised,
 		Accepted: b.acc.Accepted, Keys: b.ledger.Len()}
 	if b.disk != nil {
 		own.StallMs = uint32(min(b.disk.Stalled(), time.Hour).Milliseconds())
@@ -27,7 +27,15 @@
 	items := codebook.ItemReports(b.acc.Stands)
 	go func() {
 		r.SetItems(items)
-		r.Counts = Running{P: p}.Counts()
+		r.Counts, r.Traffic = Running{P: p}.Counts(), signal.Totals()
 		c.Reply(r, nil)
 	}()
 }
+
+// standing is the state as it is told: a member that catches up serves keys, and its register counts for nothing yet.
+func (b *books) standing() string {
+	if b.state == Serving && b.acc.CatchesUp() {
+		return "catching up"
+	}
+	return string(b.state)
+}
--- a/internal/relief/relief.go
+++ b/internal/relief/relief.go
@@ -9,6 +9,7 @@
 package relief
 
 import (
+	"maps"
 	"slices"
 
 	"saltmast/internal/ballot"
@@ -188,19 +189,154 @@
 	return promised, accepted, chosen, at
 }
 
-// Replace is the roll with the voter of a place replaced by one of the candidates, of the same zone first. ok is false where
-// there is none: a roll never shrinks by silence alone.
-func Replace(r Roll, place int, candidates []Voter) (voters []Voter, ok bool) {
-	best := -1
-	for i, c := range candidates {
-		if r.Place(c.Addr) < 0 && (best < 0 || c.Zone == r.Voters[place].Zone && candidates[best].Zone != c.Zone) {
-			best = i
+// Wanted is how many voters bear the loss of so many at once.
+func Wanted(losses int) int { return 2*losses + 1 }
+
+// Grow is the roll with candidates added until it has as many voters as are wanted, of zones that have the fewest first. ok is
+// false where that can't be reached: half of the way costs each vote a member more and bears no further loss.
+func Grow(r Roll, wanted int, candidates []Voter) (voters []Voter, ok bool) {
+	voters = slices.Clone(r.Voters)
+	for len(voters) < wanted {
+		best, fewest := -1, 0
+		for i, c := range candidates {
+			if slices.ContainsFunc(voters, func(v Voter) bool { return v.Addr == c.Addr }) {
+				continue
+			}
+			same := 0
+			for _, v := range voters {
+				if v.Zone == c.Zone {
+					same++
+				}
+			}
+			if best < 0 || same < fewest {
+				best, fewest = i, same
+			}
+		}
+		if best < 0 {
+			return nil, false
 		}
+		voters = append(voters, candidates[best])
 	}
-	if best < 0 {
-		return nil, false
+	return voters, len(voters) > len(r.Voters)
+}
+
+// Tolerance is what may be lost at once with a majority left: so many zones, or so many regions. Machines are what Wanted counts.
+type Tolerance struct {
+	Zones, Regions int
+	RegionOf       map[string]string // by zone; a zone that it lacks lies in none that is known
+}
+
+// Excess is by how many voters too many the worst loss of zones, and that of regions, would take: with 0 each leaves a majority.
+// A voter whose zone, or region, isn't known shares it with nobody.
+func (t Tolerance) Excess(voters []Voter) (excess int) {
+	excess, _ = t.weigh(voters)
+	return excess
+}
+
+// weigh gives besides how far from even the voters lie, by which two rolls of one excess are told apart: the sum of the squares.
+func (t Tolerance) weigh(voters []Voter) (excess, uneven int) {
+	count := func(lost int, of func(Voter) string) {
+		if lost <= 0 {
+			return
+		}
+		shares := map[string]int{}
+		for i, v := range voters {
+			at := of(v)
+			if at == "" {
+				at = string(rune(i)) + "?"
+			}
+			shares[at]++
+		}
+		sizes := slices.Sorted(maps.Values(shares))
+		slices.Reverse(sizes)
+		taken := 0
+		for i, n := range sizes {
+			uneven += n * n
+			if i < lost {
+				taken += n
+			}
+		}
+		excess += max(0, taken-(len(voters)-ballot.Majority(len(voters))))
 	}
-	voters = slices.Clone(r.Voters)
-	voters[place] = candidates[best]
-	return voters, true
+	count(t.Zones, func(v Voter) string { return v.Zone })
+	count(t.Regions, func(v Voter) string { return t.RegionOf[v.Zone] })
+	return excess, uneven
+}
+
+// Next is the list of voters that should follow a roll: each of the lost places is taken by a candidate, as many are added as are
+// wanted, and none that may be lost at once, by t, is to hold a majority. nil: there is nothing to change, or nobody to do it
+// with. A roll never shrinks by silence alone, and voters that are well leave only if that lowers the excess.
+func Next(r Roll, lost []int, wanted int, t Tolerance, candidates []Voter) []Voter {
+	voters := Replace(r, lost, t, candidates)
+	if len(voters) < wanted {
+		if more, ok := Grow(Roll{Voters: voters}, wanted, candidates); ok {
+			voters = more
+		}
+	}
+	if voters = Spread(voters, t, candidates); (Roll{Epoch: r.Epoch, Voters: voters}).Same(r) {
+		return nil
+	}
+	return voters
+}
+
+// Replace is the list of voters with each of the lost places taken by the candidate that leaves the least excess, of the same zone
+// first. A place for which there is none stays.
+func Replace(r Roll, lost []int, t Tolerance, candidates []Voter) []Voter {
+	voters := slices.Clone(r.Voters)
+	for _, place := range lost {
+		next, _, ok := best(voters, []int{place}, candidates, func(voters []Voter) [3]int {
+			excess, uneven := t.weigh(voters)
+			moved := 0
+			if voters[place].Zone != r.Voters[place].Zone {
+				moved = 1
+			}
+			return [3]int{excess, moved, uneven}
+		})
+		if ok {
+			voters = next
+		}
+	}
+	return voters
+}
+
+// Spread is the list of voters with some of them replaced by candidates until no loss that is to be borne takes a majority, or
+// none of the candidates helps any more.
+func Spread(voters []Voter, t Tolerance, candidates []Voter) []Voter {
+	places := make([]int, len(voters))
+	for i := range places {
+		places[i] = i
+	}
+	price := func(voters []Voter) [3]int {
+		excess, uneven := t.weigh(voters)
+		return [3]int{excess, uneven}
+	}
+	now := voters
+	for t.Excess(now) > 0 {
+		next, price2, ok := best(now, places, candidates, price)
+		if p := price(now); !ok || slices.Compare(price2[:], p[:]) >= 0 {
+			break
+		}
+		now = next
+	}
+	if t.Excess(now) < t.Excess(voters) {
+		return now
+	}
+	return voters
+}
+
+// best is the cheapest list of voters with one of the places taken by one of the candidates that are not among them.
+func best(voters []Voter, places []int, candidates []Voter, price func([]Voter) [3]int) (next []Voter, least [3]int, ok bool) {
+	for _, place := range places {
+		for _, c := range candidates {
+			if slices.ContainsFunc(voters, func(v Voter) bool { return v.Addr == c.Addr }) {
+				continue
+			}
+			with := slices.Clone(voters)
+			with[place] = c
+			if p := price(with); !ok || slices.Compare(p[:], least[:]) < 0 {
+				next, least, ok = with, p, true
+			}
+		}
+	}
+	return next, least, ok
 }
--- /dev/null
+++ b/internal/tug/parts_test.go
@@ -0,0 +1,176 @@
+package tug
+
+import (
+	"bytes"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"saltmast/internal/berths"
+	"saltmast/internal/codebook"
+	"saltmast/internal/manifest"
+)
+
+// While the configuration and the table change and a proxy goes from one source to another and back, some of them behind or begun
+// anew, what it puts in force is always one value that was chosen, whole, and never an older one; and once a source says that
+// there are no more entries, there is none that it has and this one lacks.
+func TestPartsAreOneWhole(t *testing.T) {
+	spec := bytes.Repeat([]byte("x"), codebook.PartBytes/3) // a few items fill a message
+	release := strings.Repeat("x", codebook.PartBytes/7)    // and a few entries
+	history := func(t *rapid.T) {
+		b := func(n int) manifest.Ballot { return manifest.Ballot{N: uint64(n), By: uint32(n % 3)} }
+		chosen := []manifest.Set{{}} // by ballot
+		change := func(items int) {
+			var is []manifest.Item
+			n := len(chosen)
+			for range items {
+				i := manifest.Item{Key: manifest.Key{Name: fmt.Sprint(rapid.IntRange(0, 7).Draw(t, "key"))}, Version: manifest.Version(n), Ballot: b(n),
+					Dropped: rapid.IntRange(0, 2).Draw(t, "dropped") == 0}
+				if !i.Dropped {
+					i.Spec = spec
+				}
+				is = append(is, i)
+			}
+			chosen = append(chosen, chosen[n-1].With(is...))
+		}
+		change(12)
+		knows := []int{1, 1}           // what two harbourmasters heard of last, at places 1 and 2
+		lives := []uint64{0, 1, 2, 3}  // by place
+		proxy, own := begun(), begun() // a source at place 3 that keeps no tombstones; the one that is looked at
+		tables := []*berths.Table{nil, berths.New(), berths.New(), proxy.table}
+		versions := uint64(0)
+		moor := func() {
+			versions++
+			tables[1].Join(berths.Berth{Node: fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "node")), Addr: "a", Version: versions, Release: release})
+		}
+		for range 8 {
+			moor()
+		}
+		call := func(at uint64, to *proxied) { // of one message
+			n := codebook.News{Life: lives[at]}
+			var m codebook.PullCall
+			m.Have = to.have
+			to.got.goOn(&m)
+			if at == 3 {
+				n.Tell(m, proxy.table, proxy.have, proxy.stands, proxy.bare)
+			} else {
+				k := knows[at-1]
+				n.Tell(m, tables[at], b(k), chosen[k], manifest.Ballot{})
+			}
+			size := 0
+			for _, i := range n.Items {
+				size += len(i.Spec)
+			}
+			for _, x := range n.Berths {
+				size += len(x.Release)
+				to.table.Join(x)
+			}
+			if size > codebook.PartBytes {
+				t.Fatalf("a message of %d bytes", size)
+			}
+			to.got.add(&n)
+			to.sources.keep(fmt.Sprint(at), &to.got)
+			for _, x := range tables[at].All() {
+				if have, _ := to.table.Get(x.Node); !n.More && have.Version < x.Version {
+					t.Fatalf("no more entries, and %s is %d, not %d", x.Node, have.Version, x.Version)
+				}
+			}
+			if to.have.Less(n.Chosen) {
+				to.have = n.Chosen
+				to.stands, to.bare = inForce(to.stands, to.bare, n)
+			}
+			var want []manifest.Item
+			for i := range chosen[to.have.N].All() {
+				if !i.Dropped {
+					want = append(want, i)
+				}
+			}
+			if have := slices.Collect(to.stands.All()); !reflect.DeepEqual(have, want) {
+				t.Fatalf("ballot %d: %v, and %v were chosen", to.have.N, brief(have), brief(want))
+			}
+		}
+		at := uint64(1)
+		if rapid.Bool().Draw(t, "begun") {
+			for range 5 {
+				call(1, &own)
+			}
+		} else if rapid.Bool().Draw(t, "the proxy begun") {
+			for at = 3; proxy.have.IsZero(); {
+				call(1, &proxy)
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				knows[0] = len(chosen) // the one that the proxy hears knows most
+				change(rapid.IntRange(0, 4).Draw(t, "items"))
+			case 1:
+				s := rapid.IntRange(0, 1).Draw(t, "hears")
+				knows[s] = rapid.IntRange(knows[s], len(chosen)-1).Draw(t, "of")
+			case 2:
+				for range rapid.IntRange(1, 5).Draw(t, "calls") {
+					call(1, &proxy)
+				}
+			case 3:
+				if at = rapid.Uint64Range(1, 3).Draw(t, "goes to"); rapid.Bool().Draw(t, "anew") {
+					own.got = own.sources[fmt.Sprint(at)] // another connection; without it, the source is another life at the same address
+				}
+			case 7:
+				for range rapid.IntRange(1, 5).Draw(t, "entries") {
+					moor()
+				}
+			case 8: // another harbourmaster hears of some of them
+				entries, _, _ := tables[1].Part(0, rapid.IntRange(1, codebook.PartBytes).Draw(t, "bytes"))
+				for _, x := range entries {
+					tables[2].Join(x)
+				}
+			case 9: // a harbourmaster begins anew, and hears of the other's table first
+				s := rapid.IntRange(1, 2).Draw(t, "anew")
+				lives[s] += 10
+				all := tables[3-s].All()
+				tables[s] = berths.New()
+				for _, x := range all {
+					tables[s].Join(x)
+				}
+			default:
+				for range rapid.IntRange(1, 3).Draw(t, "calls") {
+					call(at, &own)
+				}
+			}
+		}
+		for range 20 { // in calm times it comes to its end
+			call(at, &own)
+		}
+		if last := []manifest.Ballot{b(knows[0]), b(knows[1]), proxy.have}[at-1]; own.have.Less(last) || own.got.cursor != nil || own.got.more {
+			t.Fatalf("ballot %d of %d, or still in parts", own.have.N, last.N)
+		}
+	}
+	for range 4 { // some wrong programs show in one history of several hundred
+		rapid.Check(t, history)
+	}
+}
+
+// brief names items by key and ballot.
+func brief(items []manifest.Item) (out []string) {
+	for _, i := range items {
+		out = append(out, fmt.Sprint(i.Key.Name, "@", i.Ballot.N))
+	}
+	return out
+}
+
+// proxied is what a proxy holds.
+type proxied struct {
+	have, bare manifest.Ballot
+	stands     manifest.Set
+	got        parts
+	table      *berths.Table
+	sources    sources
+}
+
+func begun() proxied {
+	return proxied{stands: manifest.Set{}.Charted(), table: berths.New(), sources: sources{}}
+}
--- a/internal/tug/report.go
+++ b/internal/tug/report.go
@@ -37,6 +37,7 @@
 	t.mu.Unlock()
 	r.SetItems(items)
 	r.Tug = own
+	r.Traffic = signal.Totals()
 	t.way.Tell(&r, own, call.Brief)
 	return signal.Encode(r), nil
 }
--- a/internal/tug/tug.go
+++ b/internal/tug/tug.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"saltmast/internal/articles"
-	"saltmast/internal/ballot"
 	"saltmast/internal/berths"
 	"saltmast/internal/codebook"
 	"saltmast/internal/council"
@@ -44,11 +43,15 @@
 	table   *berths.Table
 	stands  manifest.Set
 	chosen  manifest.Ballot
-	news    chan struct{}  // holds one when this proxy has something to tell
-	heard   time.Time      // a harbourmaster that had heard a majority
-	full    bool           // such a one has told all that there is
-	others  []berths.Berth // of proxies that reach no harbourmaster, to be told on
-	whole   bool           // the next pull asks for all: something was dropped that is back
+	bare    manifest.Ballot      // tombstones up to this one are no more in stands
+	news    chan struct{}        // holds one when this proxy has something to tell
+	heard   time.Time            // a harbourmaster that had heard a majority
+	full    bool                 // such a one has told all that there is
+	others  []berths.Berth       // of proxies that reach no harbourmaster, to be told on
+	whole   bool                 // the next pull asks for all: something was dropped that is back
+	sources sources              // of the goroutine that pulls
+	left    map[string]time.Time // harbourmasters, and when they were left as they heard no majority
+	asked   bool                 // all harbourmasters that are known were asked: what one that hears no majority has is the best there is
 
 	fronts   []net.Listener
 	servers  []*http.Server
@@ -61,8 +64,10 @@
 
 const (
 	pullHold = 1000 * time.Millisecond
-	pullTime = 500 * time.Millisecond // beyond what a harbourmaster may hold a pull
-	staleMs  = 1500                   // a harbourmaster that has heard no majority for so long is left for another
+	pullTime = 500 * time.Millisecond  // beyond what a harbourmaster may hold a pull
+	staleMs  = 1500                    // a harbourmaster that has heard no majority for so long is left for another
+	leftFor  = 5 * time.Second         // who was left for that comes after the others for so long, and one of another zone is left for one of this
+	contact  = 3000 * time.Millisecond // after which a path with no route may be one of a route that is not known here yet
 	// keyMargin is how much longer than the window keys are known here: what is at work when it ends is not over.
 	keyMargin = 20 * time.Second
 )
@@ -76,7 +81,7 @@
 // Start begins to serve by the settings. on: nil for the system's network.
 func Start(s *articles.Settings, log func(event, text string), on sock.Net) (*Tug, error) {
 	on = sock.On(on)
-	t := &Tug{log: log, net: on, council: council.New(on), life: launch.Life(), table: berths.New(), stands: manifest.Set{},
+	t := &Tug{log: log, net: on, council: council.New(on), life: launch.Life(), table: berths.New(), sources: sources{}, left: map[string]time.Time{}, stands: manifest.Set{}.Charted(),
 		news: make(chan struct{}, 1), ended: make(chan struct{})}
 	t.s.Store(s)
 	listen := func(addr string) (net.Listener, error) {
@@ -104,7 +109,7 @@
 	t.way = gangway.New(gangway.Options{Node: s.NodeName, Zone: s.Zone, Service: s.Service, App: s.AppAddr, GateAddr: gateAddr,
 		Life: t.life, Begun: time.Now(), Heartbeat: s.Heartbeat, Ratio: s.Bounds.RetryRatio, Allowance: s.Bounds.RetryAllowance,
 		Window: s.Bounds.RetryWindow, KeyWindow: s.Bounds.DedupWindow + keyMargin, AnswerBytes: answers, MaxConns: conns,
-		Net: on, Council: t.council, News: t.newsFor, Report: t.report, Log: log,
+		Net: on, Council: t.council, News: t.newsFor, Report: t.report, Vouched: t.vouched, Log: log,
 		Heard: func(addr string) { t.head.Heard(addr) }})
 	t.way.Gate.OnChange(func(b berths.Berth) {
 		t.way.Hear(b)
@@ -180,7 +185,7 @@
 
 // watch looks at what comes with time alone, and at what the roster says.
 func (t *Tug) watch() {
-	tick := time.NewTicker(500 * time.Millisecond)
+	tick := time.NewTicker(gangway.LookEvery)
 	defer tick.Stop()
 	var changed chan struct{}
 	if t.head != nil {
@@ -226,47 +231,76 @@
 	}
 }
 
-// candidates are the harbourmasters to pull from: of this zone first, then the others and the seeds; those that the roster says
-// don't answer come last.
-func (t *Tug) candidates() []string {
+// candidates are the harbourmasters to pull from: of this zone first, then the others and the seeds; behind them those that were left a
+// while ago, as they heard no majority, and last those that the roster says don't answer. The roster's are among them: the seeds may
+// all be down, while others still probe this proxy. good is how many come before those that were left.
+func (t *Tug) candidates() (all []string, good int) {
 	s := t.s.Load()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var near, far []string
+	add := func(addr, zone string) {
+		switch {
+		case slices.Contains(near, addr) || slices.Contains(far, addr):
+		case zone == s.Zone:
+			near = append(near, addr)
+		default:
+			far = append(far, addr)
+		}
+	}
 	for _, m := range t.masters {
-		if m.Zone == s.Zone {
-			near = append(near, m.Addr)
-		} else {
-			far = append(far, m.Addr)
+		add(m.Addr, m.Zone)
+	}
+	for _, p := range t.head.Peers(codebook.RoleHarbour) {
+		if p.State.Live() {
+			add(p.Addr, p.Zone)
 		}
 	}
 	for _, x := range s.Seeds {
-		a := codebook.Beside(x, s.Ports[0], codebook.HarbourPort)
-		if !slices.Contains(near, a) && !slices.Contains(far, a) {
-			far = append(far, a)
-		}
+		add(codebook.Beside(x, s.Ports[0], codebook.HarbourPort), "")
+	}
+	for _, v := range t.council.Roll().Voters { // a harbourmaster that has just begun knows of no other, but it knows who counts
+		add(codebook.Beside(v.Addr, s.Ports[0], codebook.HarbourPort), "")
 	}
 	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
 	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-	all := append(near, far...)
+	all = append(near, far...)
 	silent := t.head.Silent(codebook.RoleHarbour)
-	slices.SortStableFunc(all, func(a, b string) int {
+	rank := func(a string) int {
 		switch {
-		case silent[a] == silent[b]:
-			return 0
-		case silent[b]:
-			return -1
+		case silent[a]:
+			return 2
+		case time.Since(t.left[a]) < leftFor:
+			return 1
 		}
-		return 1
-	})
-	return all
+		return 0
+	}
+	slices.SortStableFunc(all, func(a, b string) int { return rank(a) - rank(b) })
+	for good < len(all) && rank(all[good]) == 0 {
+		good++
+	}
+	return all, good
+}
+
+// another reports whether there is a harbourmaster to go to that may hear a majority, while this one doesn't.
+func (t *Tug) another(addr string) bool {
+	all, good := t.candidates()
+	return slices.ContainsFunc(all[:good], func(a string) bool { return a != addr })
 }
 
 // pull keeps pulling, from one harbourmaster as long as it answers and has heard a majority, else from the next.
 func (t *Tug) pull() {
+	asked := map[string]bool{}
 	for !t.over() {
-		some := false
-		for _, addr := range t.candidates() {
+		some, tried := false, map[string]bool{}
+		for {
+			all, _ := t.candidates() // others may have become known, and may have been left
+			at := slices.IndexFunc(all, func(a string) bool { return !tried[a] })
+			if at < 0 {
+				break
+			}
+			addr := all[at]
+			tried[addr], asked[addr] = true, true
 			if t.pullFrom(addr) {
 				some = true
 				break
@@ -276,6 +310,11 @@
 			}
 			t.pullBy()
 		}
+		if all, _ := t.candidates(); !slices.ContainsFunc(all, func(a string) bool { return !asked[a] }) {
+			t.mu.Lock()
+			t.asked = true
+			t.mu.Unlock()
+		}
 		if !some {
 			select {
 			case <-time.After(50*time.Millisecond + rand.N(100*time.Millisecond)):
@@ -304,18 +343,19 @@
 		err  error
 	}
 	s := t.s.Load()
-	call := codebook.PullCall{HoldMs: uint32(pullHold.Milliseconds())}
+	var call codebook.PullCall // the first is answered at once: how long ago it heard a majority is to be known
 	began := time.Now()
+	got := t.sources[addr]
 	for !t.over() {
 		b := t.way.Gate.Berth()
 		t.mu.Lock()
 		call.Self, call.Have, call.Epoch = &b, t.chosen, t.council.Roll().Epoch
-		if t.whole {
-			t.whole, call.Life = false, 0
-		}
+		t.anew(&got)
+		got.goOn(&call)
 		call.Others = slices.Clone(t.others)
 		t.mu.Unlock()
 		done := make(chan result, 1)
+		sent := time.Now()
 		id := c.Go(codebook.Pull, signal.Encode(call), func(body []byte, err error) { done <- result{body, err} })
 		timer := time.NewTimer(pullHold + pullTime)
 		var r result
@@ -330,7 +370,7 @@
 				t.mu.Lock()
 				others := slices.Clone(t.others)
 				t.mu.Unlock()
-				c.Go(codebook.Pull, signal.Encode(codebook.PullCall{Self: &b, Others: others, Life: call.Life, At: ^uint64(0), Have: call.Have, Sum: call.Sum, Epoch: call.Epoch}), func([]byte, error) {})
+				c.Go(codebook.Pull, signal.Encode(codebook.PullCall{Self: &b, Others: others, Life: call.Life, At: codebook.Tells, Have: manifest.Ballot{N: 1 << 62}, Sum: call.Sum, Epoch: call.Epoch}), func([]byte, error) {})
 			case <-timer.C:
 				c.Forget(id)
 				r.err = plight.New(plight.TimedOut, "")
@@ -345,37 +385,77 @@
 			return false
 		}
 		t.pulls.Add(1)
+		age(&n, sent)
 		t.from.Store(&pulled{addr, time.Now(), n.FreshMs})
 		good = true
 		t.head.Heard(addr)
-		call.Life, call.At, call.Sum = n.Life, n.At, n.Sum
+		call.Sum = n.Sum
 		t.mu.Lock()
 		t.others = t.others[min(len(call.Others), len(t.others)):]
 		t.mu.Unlock()
-		t.take(n)
-		if n.FreshMs > staleMs && (time.Since(began) > time.Second || n.FreshMs >= codebook.Never && time.Since(began) > 300*time.Millisecond) {
+		got.add(&n)
+		better := t.take(n)
+		t.sources.keep(addr, &got)
+		if n.FreshMs > staleMs && (better || t.another(addr) || time.Since(began) > time.Second || n.FreshMs >= codebook.Never && time.Since(began) > 300*time.Millisecond) {
+			t.mu.Lock()
+			t.left[addr] = time.Now()
+			t.mu.Unlock()
 			return false // it hears no majority: another may
 		}
-		if len(t.masters) > 0 && time.Since(began) > 5*time.Second && !t.near(addr, s.Zone) {
+		hold := pullHold
+		if n.FreshMs <= staleMs { // it is left once it is that long ago, and not a whole hold later
+			hold = min(hold, time.Duration(staleMs+20-n.FreshMs)*time.Millisecond)
+		}
+		call.HoldMs = uint32(hold.Milliseconds())
+		if len(t.masters) > 0 && time.Since(began) > leftFor && !t.near(addr, s.Zone) {
 			return true // perhaps one of this zone is back
 		}
 	}
 	return true
 }
 
-// pullBy asks another proxy for what this one lacks, while no harbourmaster is of use.
+// anew has all sources tell all again, where something was dropped that is back. The caller holds t.mu.
+func (t *Tug) anew(got *parts) {
+	if t.whole {
+		t.whole, *got = false, parts{}
+		clear(t.sources)
+	}
+}
+
+// pullBy asks another proxy for what this one lacks, while no harbourmaster is of use. One that knows of none asks the proxy that
+// called its gate last: others may still know this machine, whose seeds can't be reached.
 func (t *Tug) pullBy() {
-	b := t.way.Gate.Berth()
-	t.mu.Lock()
-	call := codebook.PullCall{Self: &b, Have: t.chosen, Epoch: t.council.Roll().Epoch}
-	t.mu.Unlock()
-	raw, err := t.way.AskNews(signal.Encode(call), pullTime)
-	var n codebook.News
-	if err != nil || signal.Decode(raw, &n) != nil {
-		return
+	from, ok := t.way.Another()
+	if !ok {
+		ip, s := t.way.Gate.Caller(), t.s.Load()
+		if ip == "" || ip == s.IP {
+			return
+		}
+		from = codebook.Beside(net.JoinHostPort(ip, "0"), s.Ports[0], codebook.GatePort)
+	}
+	got := t.sources[from]
+	for !t.over() {
+		b := t.way.Gate.Berth()
+		t.mu.Lock()
+		call := codebook.PullCall{Self: &b, Have: t.chosen, Epoch: t.council.Roll().Epoch}
+		t.anew(&got)
+		got.goOn(&call)
+		t.mu.Unlock()
+		sent := time.Now()
+		raw, err := t.way.AskNews(from, signal.Encode(call), pullTime)
+		var n codebook.News
+		if err != nil || signal.Decode(raw, &n) != nil {
+			return
+		}
+		t.byOther.Add(1)
+		got.add(&n)
+		age(&n, sent)
+		t.take(n)
+		t.sources.keep(from, &got)
+		if got.cursor == nil && !got.more {
+			return
+		}
 	}
-	t.byOther.Add(1)
-	t.take(n)
 }
 
 // newsFor answers another proxy that reaches no harbourmaster, and tells on what it is the source of.
@@ -389,10 +469,8 @@
 	if told {
 		t.others = append(t.others, *call.Self)
 	}
-	n := codebook.News{Berths: t.table.Since(0), Chosen: t.chosen, FreshMs: codebook.Never}
-	if call.Have.Less(t.chosen) {
-		n.Items = ballot.Since(t.stands, call.Have)
-	}
+	n := codebook.News{Life: t.life, FreshMs: codebook.Never, Partial: !t.full}
+	n.Tell(call, t.table, t.chosen, t.stands, t.bare)
 	if r := t.council.Roll(); r.Epoch != call.Epoch && r.Epoch > 0 {
 		n.Roll = &r
 	}
@@ -426,8 +504,14 @@
 	return !some
 }
 
-// take takes news.
-func (t *Tug) take(n codebook.News) {
+// age adds the time that news took on its way, of a call sent then: either end may have slept meanwhile.
+func age(n *codebook.News, sent time.Time) {
+	way := max(0, time.Since(sent).Milliseconds()-int64(n.HeldMs))
+	n.FreshMs = uint32(min(int64(n.FreshMs)+way, codebook.Never))
+}
+
+// take takes news. A configuration of one who hears no majority is left there while another may have a newer one: seek.
+func (t *Tug) take(n codebook.News) (seek bool) {
 	if n.Roll != nil && t.council.Take(*n.Roll) {
 		t.log("roll", fmt.Sprintf("epoch %d, %d count", n.Roll.Epoch, len(n.Roll.Voters)))
 	}
@@ -435,7 +519,7 @@
 	var chart *manifest.Chart
 	t.mu.Lock()
 	if len(n.Masters) > 0 {
-		t.masters = n.Masters
+		t.masters = listed(t.masters, n.Masters, n.FreshMs > staleMs)
 	}
 	node := t.s.Load().NodeName
 	for _, b := range n.Berths {
@@ -443,17 +527,14 @@
 			news = append(news, b)
 		}
 	}
-	if t.chosen.Less(n.Chosen) { // what is in force never goes back
+	seek = n.FreshMs > staleMs && !t.full && !t.asked
+	if t.chosen.Less(n.Chosen) && !seek { // what is in force never goes back
 		t.chosen = n.Chosen
-		for _, i := range n.Items {
-			if cur, ok := t.stands[i.Key]; !ok || cur.Version < i.Version {
-				t.stands[i.Key] = i
-			}
-		}
+		t.stands, t.bare = inForce(t.stands, t.bare, n)
 		chart = t.stands.Chart()
 	}
 	if n.FreshMs <= staleMs && !n.Chosen.IsZero() {
-		t.full = true
+		t.full = t.full || !n.More && !n.Partial
 		if at := time.Now().Add(-time.Duration(n.FreshMs) * time.Millisecond); at.After(t.heard) { // hearsay does not grow younger by being told
 			t.heard = at
 		}
@@ -471,6 +552,27 @@
 			t.way.Gate.Refute(b)
 		}
 	}
+	return seek
+}
+
+// listed is the list of harbourmasters after another was told. One who hears no majority may know few: it takes nobody off.
+func listed(known, told []codebook.Master, stale bool) []codebook.Master {
+	out := slices.Clone(told)
+	if stale {
+		for _, m := range known {
+			if !slices.ContainsFunc(told, func(x codebook.Master) bool { return x.Name == m.Name }) {
+				out = append(out, m)
+			}
+		}
+	}
+	return out
+}
+
+// vouched reports whether the configuration is that of a majority which was heard lately.
+func (t *Tug) vouched() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Since(t.heard) < contact
 }
 
 // Reload takes other settings: seeds alone may change while it runs.
