--- a/internal/drydock/backend.go
+++ b/internal/drydock/backend.go
@@ -195,6 +195,7 @@
 	w := b.m.w
 	var late []byte // an extra answer, that comes ahead of the next
 	for {
+		b.rests(c)
 		r, err := http.ReadRequest(in)
 		if err != nil {
 			return
@@ -209,7 +210,19 @@
 		w.log.AddRun(run)
 		decline := func(status int) bool {
 			run.Declined, run.Status, run.End, run.Done = true, status, w.now(), true
-			_, err := fmt.Fprintf(c, "HTTP/1.1 %d Declined\r\nVioletlatch-Attempt-Id: %s\r\nVioletlatch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", status, run.ID)
+			msg := fmt.Appendf(nil, "HTTP/1.1 %d Declined\r\nVioletlatch-Attempt-Id: %s\r\nVioletlatch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", status, run.ID)
+			if len(late) > 0 {
+				msg = append(late, msg...)
+				late = nil
+			}
+			if w.fault.Copies > 0 && b.float() < w.fault.Copies {
+				id := fmt.Sprintf("Violetlatch-Attempt-Id: %s\r\n", run.ID)
+				if b.float() < 0.3 {
+					id = ""
+				}
+				late = fmt.Appendf(nil, "HTTP/1.1 %d Declined\r\n%sVioletlatch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", status, id)
+			}
+			_, err := c.Write(msg)
 			return err == nil
 		}
 		if to := r.Header.Get("Violetlatch-Target-Instance"); to != "" && to != b.id {
@@ -222,7 +235,7 @@
 			decline(400)
 			return
 		}
-		if b.float() < w.fault.Full || !b.enter() {
+		if b.float() < b.faults().Full || !b.enter() {
 			if !decline(503) {
 				return
 			}
@@ -247,7 +260,7 @@
 	if b.float() < 0.01 {
 		took += 150 * time.Millisecond
 	}
-	time.Sleep(took)
+	time.Sleep(b.strained(took))
 	failed := b.calls(run, r.Header.Get("Violetlatch-Deadline-Remaining"))
 	run.End = w.now()
 	select {
@@ -270,7 +283,7 @@
 	}
 	run.Status, run.Sent = 200, sum(body)
 	fault := b.float()
-	f := w.fault
+	f := b.faults()
 	if fault -= f.Fail; fault < 0 {
 		run.Status = 500
 	}
@@ -306,6 +319,9 @@
 		msg = append(*late, msg...)
 		*late = nil
 	}
+	if run.Status == 500 && f.Copies > 0 && b.float() < f.Copies {
+		*late = msg
+	}
 	if fault >= 0 && fault < f.Late {
 		*late = fmt.Appendf(nil, "%sContent-Length: 4\r\n\r\nlate", head)
 	}
--- a/internal/drydock/day.go
+++ b/internal/drydock/day.go
@@ -19,7 +19,7 @@
 	Floor  float64                      `json:"floor,omitempty"` // part of requests to be served at least
 	Length time.Duration                `json:"length_ns"`
 	Faults Faults                       `json:"faults"`
-	Rate   float64                      `json:"rate,omitempty"`     // requests a second at each of the 4 machines; 0: rate
+	Rate   float64                      `json:"rate,omitempty"`     // requests a second at each machine; 0: rate
 	Work   float64                      `json:"work,omitempty"`     // how many times as long backends take; 0: once
 	Keys   float64                      `json:"keys,omitempty"`     // part of the requests that carry a key, beside those that draw their route
 	Again  time.Duration                `json:"again_ns,omitempty"` // within which keys come again; 0: 1.5 s
@@ -27,6 +27,7 @@
 	Lost   time.Duration                `json:"lost_ns,omitempty"`  // after which a silent voter is replaced; 0: in no day
 	Rude   float64                      `json:"rude,omitempty"`     // part of the tries that end in the middle of their body
 	Calls  float64                      `json:"calls,omitempty"`    // part of the runs that make a call of their own
+	Size   Size                         `json:"size,omitzero"`
 	Events func(w *World, op *operator) `json:"-"`
 
 	Without []string `json:"without,omitempty"` // what is left out, by the keys of what a play did (Step)
@@ -74,9 +75,9 @@
 	dir := scratch(t)
 	var failed []surveyor.Broken
 	bubble(t, func(t testing.TB) {
-		w := newWorld(seed, dir)
+		w := newWorld(seed, dir, d.Size)
 		w.flaw, w.fault, w.without, w.lost = flaw, d.Faults, d.Without, d.Lost
-		w.log.Floor = d.Floor
+		w.log.Floor, w.length = d.Floor, d.Length
 		w.begin(t)
 		op := w.operator("10.9.0.2")
 		w.until(200 * time.Millisecond)
--- a/internal/drydock/days.go
+++ b/internal/drydock/days.go
@@ -47,8 +47,33 @@
 	{Name: "seeds", Floor: 0.95, Length: 16 * time.Second, Keys: 0.3, Events: seedsTurn},
 	{Name: "old-copy", Floor: 0.8, Length: 15 * time.Second, Rate: 30, Keys: 0.7, Again: 9 * time.Second, Events: oldCopy},
 	{Name: "voter-lost", Floor: 0.85, Length: 20 * time.Second, Keys: 0.5, Again: 6 * time.Second, Lost: 2 * time.Second, Events: voterLost},
-	{Name: "voter-asked", Floor: 0.85, Length: 17 * time.Second, Keys: 0.5, Again: 6 * time.Second, Events: voterAsked},
-	{Name: "voter-amid", Floor: 0.85, Length: 15 * time.Second, Keys: 0.5, Again: 6 * time.Second, Events: voterAmid},
+	{Name: "voter-asked", Floor: 0.85, Length: 17 * time.Second, Keys: 0.5, Again: 6 * time.Second, Lost: 5 * time.Minute, Events: voterAsked},
+	{Name: "five", Size: Size{Core: 5}, Floor: 0.85, Length: 20 * time.Second, Keys: 0.5, Again: 6 * time.Second, Events: five},
+	{Name: "five-amid", Size: Size{Core: 5}, Floor: 0.85, Length: 14 * time.Second, Keys: 0.5, Again: 6 * time.Second, Events: fiveAmid},
+	{Name: "in-turn", Floor: 0.6, Length: 36 * time.Second, Rate: 8, Keys: 0.4, Again: 6 * time.Second, Events: inTurn},
+	{Name: "apart-back", Floor: 0.6, Length: 42 * time.Second, Rate: 8, Keys: 0.4, Again: 6 * time.Second, Events: apartBack},
+	{Name: "zone-lost", Size: Size{Core: 5, Voters: 3, Together: true}, Floor: 0.6, Length: 42 * time.Second, Rate: 8, Keys: 0.4, Again: 6 * time.Second, Events: zoneLost},
+	{Name: "second-loss", Floor: 0.85, Length: 15 * time.Second, Keys: 0.5, Again: 6 * time.Second, Events: secondLoss},
+	{Name: "leaver", Floor: 0.85, Length: 16 * time.Second, Keys: 0.5, Again: 6 * time.Second, Lost: 5 * time.Minute, Events: leaver},
+	{Name: "stop-amid", Floor: 0.85, Length: 12 * time.Second, Keys: 0.5, Again: 6 * time.Second, Lost: 5 * time.Minute, Events: stopAmid},
+	{Name: "core-roll", Floor: 0.9, Length: 14 * time.Second, Keys: 0.4, Again: 6 * time.Second, Events: coreRoll},
+	{Name: "voter-amid", Floor: 0.85, Length: 15 * time.Second, Keys: 0.5, Again: 6 * time.Second, Lost: 5 * time.Minute, Events: voterAmid},
+	{Name: "long-cut", Floor: 0.6, Length: 32 * time.Second, Rate: 8, Keys: 0.2, Events: longCut},
+	{Name: "long-one-way", Floor: 0.6, Length: 32 * time.Second, Rate: 8, Keys: 0.2, Events: longOneWay},
+	{Name: "long-freeze", Floor: 0.6, Length: 32 * time.Second, Rate: 8, Keys: 0.2, Events: longFreeze},
+	{Name: "long-slow", Floor: 0.6, Length: 32 * time.Second, Rate: 8, Keys: 0.2, Events: longSlow},
+	{Name: "long-side", Floor: 0.5, Length: 34 * time.Second, Rate: 8, Keys: 0.2, Events: longSide},
+	{Name: "long-triangle", Floor: 0.6, Length: 32 * time.Second, Rate: 8, Keys: 0.2, Events: longTriangle},
+	{Name: "long-lure", Floor: 0.6, Length: 32 * time.Second, Rate: 8, Keys: 0.2, Events: longLure},
+	{Name: "long-ring", Floor: 0.4, Length: 36 * time.Second, Rate: 8, Events: longRing},
+	{Name: "long-turns", Floor: 0.6, Length: 36 * time.Second, Rate: 8, Keys: 0.2, Events: longTurns},
+	{Name: "lost-seeds", Floor: 0.85, Length: 22 * time.Second, Rate: 8, Keys: 0.2, Events: lostSeeds},
+	{Name: "copies", Floor: 0.6, Length: 11 * time.Second, Rate: 30, Faults: Faults{Late: 0.1, Full: 0.15, Fail: 0.05, Copies: 0.5}},
+	{Name: "numbers", Floor: 0.6, Length: 16 * time.Second, Rate: 3, Events: numbers},
+	{Name: "numbers-roll", Floor: 0.6, Length: 18 * time.Second, Rate: 3, Events: numbersRoll},
+	{Name: "numbers-moved", Floor: 0.6, Length: 18 * time.Second, Rate: 3, Events: numbersMoved},
+	{Name: "missed", Floor: 0.85, Length: 17 * time.Second, Rate: 4, Events: missed},
+	{Name: "behind", Floor: 0.85, Length: 20 * time.Second, Rate: 4, Events: behind},
 }
 
 // DayNamed is the kind of day of that name.
@@ -402,7 +427,8 @@
 			coreBusy = true
 			c, rest := w.core[r.IntN(3)], 5*time.Second // it counts as lost for a while after it is back
 			kind, ill := r.IntN(9), int32(1+r.IntN(3))
-			begin([]string{"kill", "wipe, kill", "cut", "freeze", "power", "slow", "disk", "lossy", "narrow"}[kind]+" "+c.name, rest, func() {
+			away := []string{"kill", "wipe, kill", "cut", "freeze", "power", "slow", "disk", "lossy", "narrow"}
+			begin(away[kind]+" "+c.name, rest, func() {
 				switch kind {
 				case 8:
 					over := w.trouble("narrow", c.name, true)
@@ -428,33 +454,8 @@
 					time.Sleep(took)
 					w.sea.Slow(c.m, 0)
 					over()
-				case 0, 1:
-					over := w.trouble("kill", c.name, true)
-					c.kill()
-					if kind == 1 {
-						w.must(c.wipe())
-					}
-					time.Sleep(took)
-					w.must(c.start())
-					over()
-				case 2:
-					over := w.trouble("cut", c.name, true)
-					w.sea.CutOff(c.m)
-					time.Sleep(took)
-					w.sea.JoinAgain(c.m)
-					over()
-				case 3:
-					over := w.trouble("freeze", c.name, true)
-					c.m.Freeze(true)
-					time.Sleep(took)
-					c.m.Freeze(false)
-					over()
-				case 4:
-					over := w.trouble("power", c.name, true)
-					c.powerOff()
-					time.Sleep(took)
-					w.must(c.powerOn())
-					over()
+				default:
+					w.awayFor(c, away[kind], took)
 				}
 			}, func() { coreBusy = false })
 		case what < 6:
--- a/internal/drydock/epochs.go
+++ b/internal/drydock/epochs.go
@@ -15,9 +15,11 @@
 
 // another starts a fourth core machine, which does not count, and waits until it knows so.
 func (w *World) another() *coreMachine {
-	c := &coreMachine{w: w, n: 3, name: "core-4", dir: filepath.Join(w.dir, "core-4"), gone: make(chan struct{}), lag: w.rand("disk core-4")}
+	n := len(w.core)
+	name := fmt.Sprintf("core-%d", n+1)
+	c := &coreMachine{w: w, n: n, name: name, dir: filepath.Join(w.dir, name), gone: make(chan struct{}), lag: w.rand("disk " + name)}
 	close(c.gone)
-	c.m = w.sea.Machine("10.3.0.3", "south")
+	c.m = w.sea.Machine(fmt.Sprintf("10.3.0.%d", n), "south")
 	w.must(c.start())
 	w.core = append(w.core, c)
 	w.becomes(c, purser.Apart, 1, 5*time.Second)
--- a/internal/drydock/mutants_test.go
+++ b/internal/drydock/mutants_test.go
@@ -94,6 +94,12 @@
 				}
 				return a
 			}}, "TWICE", "key"},
+		{"a roll that does not grow", day("five"), Flaw{Settings: func(s *articles.Settings) { s.Tolerance.Machines = 1 }}, "WORLD", "in epoch 1"},
+		{"voters that are replaced after minutes", day("in-turn"), Flaw{Settings: func(s *articles.Settings) { s.VoterLost = 5 * time.Minute }}, "WORLD", "a removal"},
+		{"a roll that counts machines alone", day("zone-lost"), Flaw{Settings: func(s *articles.Settings) {
+			s.Tolerance = articles.Tolerance{Machines: 1}
+		}}, "WORLD", "the loss of the zone"},
+		{"a voter that goes before its successor has the books", day("leaver"), Flaw{Hasty: true}, "WORLD", "right after a replacement"},
 		{"a change acknowledged on one voter's word", change(day("cut-wipe"), func(d *Day) {
 			d.Events = func(w *World, op *operator) { cutAndWipe(w, op, w.core[0]) }
 		}), Flaw{Settings: func(s *articles.Settings) {
--- a/internal/drydock/people.go
+++ b/internal/drydock/people.go
@@ -53,6 +53,7 @@
 		status, _, _ := call(on, net.JoinHostPort(m.m.IP, portReady), "GET", "/v1/readiness", nil, time.Second)
 		if missed++; status == 200 {
 			missed = 0
+			m.w.log.Contact.AddReady(m.name, m.w.now())
 		}
 		m.mu.Lock()
 		m.in = missed < 2 && on == m.people
@@ -86,6 +87,20 @@
 	attempts           int
 }
 
+// manners is how all clients behave beside what they do on quiet days.
+type manners struct {
+	press   thousandths  // more requests than usual
+	hasty   thousandths  // clients that try again at once
+	leaving thousandths  // clients that leave early
+	leave   atomic.Int64 // within so many nanoseconds
+}
+
+// thousandths is a part that changes amid a day.
+type thousandths struct{ atomic.Int64 }
+
+func (t *thousandths) share() float64 { return float64(t.Load()) / 1000 }
+func (t *thousandths) times() float64 { return 1 + t.share() }
+
 // clients sends requests at a rate until a time of the day.
 func (m *tugMachine) clients(rate float64, until time.Duration) {
 	w := m.w
@@ -93,7 +108,7 @@
 	pool := &connPool{m: m}
 	n := 0
 	for w.now() < until {
-		if !w.pause(time.Duration(r.ExpFloat64() / rate * float64(time.Second))) {
+		if !w.pause(time.Duration(r.ExpFloat64() / (rate * w.manners.press.times()) * float64(time.Second))) {
 			return
 		}
 		n++
@@ -187,7 +202,7 @@
 	w := m.w
 	end := w.now() + wait
 	var last *surveyor.Try
-	hasty := o.r.IntN(8) == 0
+	hasty := o.r.IntN(8) == 0 || o.r.Float64() < w.manners.hasty.share()
 	for try := range 4 {
 		left := end - w.now()
 		if left < 5*time.Millisecond || o.from(m).Ended() {
@@ -238,7 +253,11 @@
 	t = &surveyor.Try{ID: id, Key: o.key, Machine: m.name, Caller: m.service, Host: host, Path: req.path, Method: req.method,
 		Body: sum(req.body), Kind: o.to.kind, Sent: w.now(), Deadline: limit, Of: o.of}
 	w.log.AddTry(t)
-	a := o.exchange(m, &req, t, end, keep)
+	leaves := end
+	if d := w.manners.leave.Load(); d > 0 && o.r.Float64() < w.manners.leaving.share() {
+		leaves = min(end, t.Sent+time.Duration(o.r.Int64N(d))+time.Millisecond)
+	}
+	a := o.exchange(m, &req, t, leaves, keep)
 	if w.flaw.Between != nil && a != nil {
 		a = w.flaw.Between(m, &req, a)
 	}
@@ -247,10 +266,17 @@
 		t.GaveUp = true
 		return t, time.Hour
 	}
+	if a == nil && leaves < end && t.End >= leaves { // the client left
+		t.GaveUp = true
+		return t, time.Hour
+	}
 	if a == nil {
 		return t, 20 * time.Millisecond
 	}
 	t.Status, t.Complete = a.status, a.complete
+	if o.key != "" && a.status/100 == 2 && a.complete {
+		w.taken.Store(int64(t.End))
+	}
 	t.Seal, t.Got, t.AnswerTo = a.header.Get("Violetlatch-Server-Seal"), sum(a.body), a.header.Get("Violetlatch-Attempt-Id")
 	if s, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64); err == nil {
 		return t, time.Duration(s * float64(time.Second))
@@ -418,14 +444,14 @@
 
 func body(items []surveyor.Item) []byte {
 	var up []map[string]any
-	remove := []map[string]any{}
+	remove := map[string][]map[string]any{"routes": {}}
 	for _, i := range items {
 		meta := map[string]any{"version": fmt.Sprintf("r%d", i.Version)}
 		if i.Kind != "limits" {
 			meta["name"] = i.Name
 		}
 		if i.Dropped {
-			remove = append(remove, meta)
+			remove[i.Kind] = append(remove[i.Kind], meta)
 			continue
 		}
 		up = append(up, map[string]any{"resource-kind": i.Kind, "metadata": meta, "specification": json.RawMessage(i.Spec)})
@@ -433,7 +459,7 @@
 	if up == nil {
 		up = []map[string]any{}
 	}
-	return []byte(text(map[string]any{"upsert": map[string]any{"resources": up}, "remove": map[string]any{"routes": remove}}))
+	return []byte(text(map[string]any{"upsert": map[string]any{"resources": up}, "remove": remove}))
 }
 
 // operator is who changes the configuration, from a machine of its own.
@@ -463,7 +489,7 @@
 	pause, others := 50*time.Millisecond, 0
 	for n := 0; w.now() < end; n++ {
 		core := w.core[(at+n)%len(w.core)]
-		status, _, _ := call(o.p, net.JoinHostPort(core.m.IP, portControl), "PATCH", "/v1/configuration", b, time.Second)
+		status := o.ask(core, "PATCH", names(c.Items), b)
 		if status != 0 {
 			c.Status = status
 		}
--- a/internal/drydock/surveyor/log.go
+++ b/internal/drydock/surveyor/log.go
@@ -69,9 +69,12 @@
 type Call struct {
 	Items   []Item
 	Invalid bool
+	Contest bool // other orders may have it refused: of one number and another content, or that take away what it hangs on
 	Sent    time.Duration
 	Acked   time.Duration // 0: never
 	Status  int           // the last that came
+	Taken   time.Duration // the first acknowledgement that was given, also one that was lost on its way; 0: none
+	Refused time.Duration // the first refusal that was given; 0: none
 }
 
 // Trouble is what was done to a machine. A backend's own trouble leaves its machine in touch.
@@ -96,6 +99,7 @@
 	Backed  map[string]string // the service by machine
 	Closing time.Duration     // the closing fault; 0: none
 	Back    time.Duration     // the machines are back from it
+	Core    int               // machines that count; 0: 3
 	Floor   float64           // part of the requests that is to be served at least
 	End     time.Duration
 
@@ -103,10 +107,12 @@
 	Tries    []*Try
 	Runs     []*Run
 	Calls    []*Call
+	Copies   []*Copy // of the orders of days that look at each sending
 	Troubles []*Trouble
 	Leaves   []Leave
 	Read     []Item // what was read back
 	ReadOK   bool
+	Contact  Contact
 }
 
 // AddBacked notes a machine that came.
