--- a/check.sh
+++ b/check.sh
@@ -22,9 +22,11 @@
 	echo "a daemon links testing" >&2
 	exit 1
 fi
-# The whole spaces of claims and ballots, all of drydock's days and its flawed worlds go without the race detector: it plays a few
+# The whole spaces of claims, ballots and connections, all of drydock's days and its flawed worlds go without the race detector: it plays a few
 # of the days below.
-go test -count=1 . ./internal/ballot ./internal/tally ./internal/drydock
+go test -count=1 . ./internal/ballot ./internal/tally ./internal/gangway ./internal/signal ./internal/drydock
+# What a proxy takes of memory with 10,000 routes is only true without it.
+go test -count=1 -run TestManyRoutes ./internal/shakedown
 # A short run of the fuzzer, bounded by its count; what it ever found stands in testdata and is part of the tests.
 go test -run='^$' -fuzz=FuzzScan -fuzztime=20000x ./internal/thrift
 go test -run='^$' -fuzz=FuzzReaders -fuzztime=20000x ./internal/recording
@@ -101,7 +103,7 @@
 echo "both programs start"
 
 # Days of the mesh in virtual time, of each kind in turn by seeds that never change: in one to two minutes, by the cores there are.
-bin/latchkit drydock --seed 1 --days 351 --floor --quiet --trials 60
+bin/latchkit drydock --seed 1 --days 480 --floor --quiet --trials 60
 
 # The days of a large fleet, small, on the model: the four rules and what is served, by seeds that never change.
 bin/latchkit lab gate --agents 40 --seeds 1-2 --quiet
--- a/internal/shakedown/mesh.go
+++ b/internal/shakedown/mesh.go
@@ -70,7 +70,8 @@
 	bin   string
 	dir   string
 	ports int // the first of the range
-	spare string
+	spare []string
+	bears int // losses at once, as settings files say; 0: they don't
 	Cores []*Machine
 	Sides []*Machine
 
@@ -94,10 +95,15 @@
 // Start starts three core machines and one sidecar machine for each service, with its backend, which beats from now on. bin
 // is where the programs were built. All ends with the test.
 func Start(t testing.TB, bin string, services ...string) *Mesh {
+	return StartFor(t, bin, 0, services...)
+}
+
+// StartFor is Start with settings files that say how many losses at once are to be borne.
+func StartFor(t testing.TB, bin string, losses int, services ...string) *Mesh {
 	t.Helper()
-	m := &Mesh{t: t, bin: bin, dir: t.TempDir()}
-	ips := m.probe(4 + len(services))
-	m.spare = ips[3+len(services)]
+	m := &Mesh{t: t, bin: bin, dir: t.TempDir(), bears: losses}
+	ips := m.probe(5 + len(services))
+	m.spare = ips[3+len(services):]
 	for i, ip := range ips[:3+len(services)] {
 		zone := "north"
 		if i%2 == 1 {
@@ -128,9 +134,9 @@
 	return m
 }
 
-// Another starts a fourth core machine, which is no seed.
+// Another starts a further core machine, which is no seed: two at most.
 func (m *Mesh) Another() *Machine {
-	x := &Machine{m: m, Name: "core-3", IP: m.spare, Zone: "south"}
+	x := &Machine{m: m, Name: fmt.Sprintf("core-%d", 3+len(m.others)), IP: m.spare[len(m.others)], Zone: "south"}
 	x.Harbour, x.Purser = x.process("harbourmaster"), x.process("purser")
 	m.others = append(m.others, x)
 	x.Start(false)
@@ -389,6 +395,9 @@
 	say("seed-nodes: [%s]", quoted(seeds))
 	say("bootstrap: %t\nheartbeat-s: 1\ncontracts: [\"base\"]", bootstrap)
 	say("bounds: [\"grace-s=6\", \"dedup-window-s=600\", \"retry-allowance=1000\", \"retry-window-s=10\"]")
+	if x.m.bears > 0 {
+		say("fault-tolerance: {machine-losses: %d, zones: 0, region-losses: 0}", x.m.bears)
+	}
 	if x.Service != "" {
 		say("machine-class: sidecar\nserves: [sidecar]\ndata-directory: null\nquorum-member: false")
 		say("limits: {cpu-fraction: 0.5, cpu-cores: 1, memory-mb: 284, file-descriptors: 4100, disk-mb: 0}")
