--- a/cmd/latchkit/main.go
+++ b/cmd/latchkit/main.go
@@ -51,6 +51,9 @@
 	if len(os.Args) >= 2 && os.Args[1] == "agent" {
 		return daemon.Main(os.Args[2:])
 	}
+	if len(os.Args) >= 3 && os.Args[1] == "part" { // of a scale run, as a process of its own
+		return partMain(os.Args[2], os.Args[3:])
+	}
 	if len(os.Args) >= 3 && os.Args[1] == "naive" {
 		if w, ok := shared.Flaws[os.Args[2]]; ok { // a real one with a mistake in what it shares
 			return daemon.MainWrong(os.Args[3:], w)
@@ -91,7 +94,7 @@
 		RunE: func(cmd *cobra.Command, args []string) error { return cmd.Help() },
 	}
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
-	c.AddCommand(rehearseCommand(), gradeCommand(), proveCommand(), capacityCommand(), measureCommand(), settlesCommand(), recordingCommand(), replayCommand(), labCommand(), fleetCommand(), peersCommand(), drydockCommand(), voyageCommand(),
+	c.AddCommand(rehearseCommand(), gradeCommand(), proveCommand(), capacityCommand(), measureCommand(), settlesCommand(), recordingCommand(), replayCommand(), labCommand(), fleetCommand(), peersCommand(), drydockCommand(), daysCommand(), scaleCommand(), voyageCommand(),
 		&cobra.Command{Use: "peer KIND LISTEN SERVER", Hidden: true, Short: "run as a proxy to measure against", Args: cobra.ExactArgs(3),
 			RunE: func(_ *cobra.Command, args []string) error { return other(measure.Peer(args[0], args[1], args[2])) }},
 		&cobra.Command{Use: "naive KIND", Hidden: true, Short: "run as an agent with a flaw", Args: cobra.ExactArgs(1),
