--- a/internal/masthead/masthead.go
+++ b/internal/masthead/masthead.go
@@ -61,6 +61,11 @@
 // Start takes part by the settings, in a role, at the place of its port; port is the place where the mesh calls it. It
 // returns nil, with a line in the log, where there can be no part.
 func Start(s *articles.Settings, role uint8, place, port int, life uint64, on sock.Net, log func(event, text string)) *Masthead {
+	return start(s, role, place, port, life, on, log, 0)
+}
+
+// start is Start with room for so many names; 0: as many as a roster has by itself.
+func start(s *articles.Settings, role uint8, place, port int, life uint64, on sock.Net, log func(event, text string), names int) *Masthead {
 	m := &Masthead{first: s.Ports[0], log: log, begun: time.Now(), Changed: make(chan struct{}, 1), place: codebook.RosterPort}
 	m.peers.Store(&map[string]*peer{})
 	addr := s.Port(place)
@@ -81,7 +86,7 @@
 		return nil
 	}
 	m.carriage = udp.Start(udp.Options{Conn: conn, OnChange: m.changed, Roster: roster.Options{Self: self, Seeds: m.seeds(s),
-		Rand: rand.New(rand.NewSource(int64(life))), Period: Period}})
+		Rand: rand.New(rand.NewSource(int64(life))), Period: Period, MaxMembers: names}})
 	return m
 }
 
@@ -168,13 +173,17 @@
 	return roster.Unknown
 }
 
-// Lives says whether the one who is called at addr counts as a member, or was heard just now.
+// Lives says whether the one who is called at addr counts as a member, or was heard just now. A roster that is full says nothing of
+// those for whom it has no place: they are not taken for gone.
 func (m *Masthead) Lives(addr string) bool {
 	if m == nil {
 		return true
 	}
 	p := (*m.peers.Load())[addr]
-	return p != nil && (p.State.Live() || m.justHeard(p))
+	if p == nil {
+		return m.carriage.Snapshot().Full
+	}
+	return p.State.Live() || m.justHeard(p)
 }
 
 func (m *Masthead) justHeard(p *peer) bool {
--- a/internal/masthead/masthead_test.go
+++ b/internal/masthead/masthead_test.go
@@ -52,12 +52,28 @@
 		}
 
 		machines[5].Freeze(true)
-		time.Sleep(3 * time.Second)
-		for i, h := range heads {
-			if silent := h.Silent(codebook.RoleTug); i != 5 && (len(silent) != 1 || !silent[tug(5)]) {
-				t.Errorf("%d: silent are %v", i, silent)
+		// Each probes the six others in turn, so the first knows it within a turn and the time of a probe; the others soon after.
+		hold := func() (n int) {
+			for i, h := range heads {
+				if silent := h.Silent(codebook.RoleTug); i != 5 && len(silent) == 1 && silent[tug(5)] {
+					n++
+				} else if len(silent) > 0 {
+					t.Errorf("%d: silent are %v", i, silent)
+				}
+			}
+			return n
+		}
+		within := func(most time.Duration, n int) {
+			began := time.Now()
+			for hold() < n {
+				if time.Since(began) > most {
+					t.Fatalf("after %v %d hold the frozen one silent, %d wanted", most, hold(), n)
+				}
+				time.Sleep(50 * time.Millisecond)
 			}
 		}
+		within(7*Period, 1)
+		within(Period, 6)
 		first.Heard(tug(5))
 		if len(first.Silent(codebook.RoleTug)) > 0 {
 			t.Error("one that was heard just now is silent")
@@ -109,3 +125,67 @@
 		}
 	})
 }
+
+// TestFullRosterTakesNobodyForGone: nine members, each with room for the names of five. Whom a member has no place for is not gone to it;
+// one that it has and that freezes is.
+func TestFullRosterTakesNobodyForGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const members, names = 9, 5
+		s := sea.New(1)
+		var machines []*sea.Machine
+		var heads []*Masthead
+		for i := range members {
+			m := s.Machine("10.0.0."+strconv.Itoa(i+1), "east")
+			set := &articles.Settings{NodeName: "n" + strconv.Itoa(i), IP: m.IP, Zone: "east", Ports: [2]int{7000, 7010}, Seeds: []string{"10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80"}}
+			role, place, port := codebook.RoleTug, codebook.RosterTugPort, codebook.GatePort
+			if i < 3 {
+				role, place, port = codebook.RoleHarbour, codebook.RosterPort, codebook.HarbourPort
+			}
+			machines = append(machines, m)
+			heads = append(heads, start(set, role, place, port, uint64(i+1), m.Start(), func(string, string) {}, names))
+		}
+		tug := func(i int) string { return net.JoinHostPort(machines[i].IP, "7002") }
+		time.Sleep(10 * time.Second)
+		unknown, known, frozen := 0, 0, 0
+		for i, h := range heads {
+			for j := 3; j < members; j++ {
+				if i == j {
+					continue
+				}
+				if !h.Lives(tug(j)) {
+					t.Errorf("%d takes %d for gone", i, j)
+				}
+				if h.State(tug(j)) == roster.Unknown {
+					unknown++
+				} else {
+					known, frozen = known+1, j
+				}
+			}
+		}
+		if unknown == 0 || known == 0 {
+			t.Fatalf("%d are unknown somewhere, %d known: the day shows nothing", unknown, known)
+		}
+		machines[frozen].Freeze(true)
+		time.Sleep(20 * time.Second)
+		gone := 0
+		for i, h := range heads {
+			switch st := h.State(tug(frozen)); {
+			case i == frozen:
+			case st == roster.Unknown && !h.Lives(tug(frozen)):
+				t.Errorf("%d has no place for it and takes it for gone", i)
+			case st != roster.Unknown && h.Lives(tug(frozen)):
+				t.Errorf("%d holds the frozen one %v", i, st)
+			case st != roster.Unknown:
+				gone++
+			}
+		}
+		if gone == 0 {
+			t.Error("nobody knew the frozen one: the day shows nothing")
+		}
+		machines[frozen].Freeze(false)
+		time.Sleep(time.Second)
+		for _, h := range heads {
+			h.Close()
+		}
+	})
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -326,6 +326,9 @@
 // Live is how many members are alive or suspected, this one included.
 func (r *Roster) Live() int { return r.live }
 
+// Full says whether there is no place for another name: of one that is not here, nothing is known then.
+func (r *Roster) Full() bool { return len(r.entries) >= r.o.MaxMembers }
+
 // Digest is equal on two members whose views of the live ones are equal, and different but for one chance in 2^32 otherwise.
 func (r *Roster) Digest() uint32 { return r.digest }
 
--- a/internal/roster/udp/udp.go
+++ b/internal/roster/udp/udp.go
@@ -35,6 +35,7 @@
 	Self    roster.Member
 	Members []roster.Status // by name, this one included
 	Live    int
+	Full    bool // see roster.Roster.Full
 	Digest  uint32
 }
 
@@ -254,7 +255,7 @@
 func (c *Carriage) publish(r *roster.Roster, counts bool) []roster.Change {
 	changed := r.Changes()
 	if changed != nil || c.snapshot.Load() == nil {
-		c.snapshot.Store(&Snapshot{At: c.Now(), Self: r.Self(), Members: r.Members(), Live: r.Live(), Digest: r.Digest()})
+		c.snapshot.Store(&Snapshot{At: c.Now(), Self: r.Self(), Members: r.Members(), Live: r.Live(), Full: r.Full(), Digest: r.Digest()})
 	}
 	if counts || changed != nil {
 		now := r.Counts()
