Tug and signal: tests without races between a teller's answers and the test itself

A teller's answers take its lock now, and what two tellers share has one. What is asked of the proxies is as it was.

--- a/internal/tug/start_test.go
+++ b/internal/tug/start_test.go
@@ -36,8 +36,8 @@
 	life    uint64
 	freshMs uint32
 	stands  manifest.Set
-	mu      sync.Mutex
-	chosen  manifest.Ballot // guarded by mu once it serves
+	mu      sync.Mutex // once it serves: of chosen, table and what it counts
+	chosen  manifest.Ballot
 	table   *berths.Table
 	onPart  func(part int64, n *codebook.News) // before it is told
 	parts   atomic.Int64                       // messages with items or entries
@@ -57,10 +57,12 @@
 			return
 		}
 		n := codebook.News{Life: s.life, FreshMs: s.freshMs}
+		s.mu.Lock()
 		if s.table == nil {
 			s.table = berths.New()
 		}
-		n.Tell(m, s.table, s.inForce(), s.stands, manifest.Ballot{})
+		n.Tell(m, s.table, s.chosen, s.stands, manifest.Ballot{})
+		s.mu.Unlock()
 		if len(n.Items)+len(n.Berths) == 0 {
 			time.Sleep(time.Duration(m.HoldMs) * time.Millisecond)
 		} else if s.parts.Add(1) == s.breakAt {
@@ -68,19 +70,15 @@
 			return
 		}
 		if s.onPart != nil {
+			s.mu.Lock()
 			s.onPart(s.parts.Load(), &n)
+			s.mu.Unlock()
 		}
 		s.largest.Store(max(s.largest.Load(), int64(len(signal.Encode(n)))))
 		c.Reply(n, nil)
 	})
 }
 
-func (s *teller) inForce() manifest.Ballot {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.chosen
-}
-
 func (s *teller) choose(b manifest.Ballot) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -176,7 +174,8 @@
 			var tellers []*teller
 			var cores []*sea.Machine
 			var ends []func()
-			var first *Tug
+			var first atomic.Pointer[Tug]
+			var told sync.Mutex        // of both tellers' answers, and of
 			whole, partial := false, 3 // answers
 			for i := range 2 {
 				m := s.Machine(fmt.Sprintf("10.1.0.%d", 2+i), "zone-1")
@@ -185,11 +184,16 @@
 				for n := range backends {
 					h.table.Join(berths.Berth{Node: fmt.Sprintf("n-%02d", n), Addr: "10.2.0.1:7", Zone: "zone-1", Version: 1, Release: release})
 				}
+				if i == 0 {
+					h.breakAt = breakAt
+				}
 				h.onPart = func(part int64, n *codebook.News) {
+					told.Lock()
+					defer told.Unlock()
 					if part <= breakAt { // and another one changes meanwhile
 						h.table.Join(berths.Berth{Node: fmt.Sprintf("n-%02d", part), Addr: "10.2.0.1:7", Zone: "zone-1", Version: 2, State: berths.Draining})
 					}
-					if first != nil && first.ready() == nil && !whole {
+					if g := first.Load(); g != nil && g.ready() == nil && !whole {
 						t.Errorf("ready with part %d", part)
 					}
 					if !n.More && partial > 0 { // it has begun a moment ago itself
@@ -201,7 +205,6 @@
 				h.serve(t, p, net.JoinHostPort(m.IP, fmt.Sprint(7380+codebook.HarbourPort)))
 				tellers, cores, ends = append(tellers, h), append(cores, m), append(ends, p.End)
 			}
-			tellers[0].breakAt, tellers[1].breakAt = breakAt, 0
 			knows := func(g *Tug) (n int) {
 				g.mu.Lock()
 				defer g.mu.Unlock()
@@ -213,7 +216,7 @@
 				return n
 			}
 			g1, _, p1 := side(t, s, "10.1.0.10", "zone-1", "10.1.0.2:80", "10.1.0.3:80")
-			first = g1
+			first.Store(g1)
 			within(20*time.Second, func() bool { return g1.ready() == nil })
 			if n := knows(g1); g1.ready() != nil || n != backends {
 				t.Errorf("the source ends with part %d: %v, %d backends", breakAt, g1.ready(), n)
@@ -230,7 +233,10 @@
 			if n := knows(g2); n != backends || asked < 8 {
 				t.Errorf("by another proxy: %d backends in %d answers", n, asked)
 			}
-			if at := g2.sources[g1.way.Gate.Berth().Addr]; at.life != g1.life || at.at < backends {
+			g2.mu.Lock()
+			at := g2.sources[g1.way.Gate.Berth().Addr]
+			g2.mu.Unlock()
+			if at.life != g1.life || at.at < backends {
 				t.Errorf("the other has told up to %+v", at)
 			}
 			p1.End()
