Gate: one place of six for those that rank behind, while they wait

One backend of a service was left, urgent calls took its six places and the line, and whoever ranked behind was turned away or put out of the line by the next. Mend: of the places one of six is for those that rank behind while they wait, and one of them waits beside the line.

TestNobodyStarvesAtAFullGate: 1 run of the last rank in 10 s without it, over 100 of 139 with it.

--- a/internal/gangway/answers_test.go
+++ b/internal/gangway/answers_test.go
@@ -134,8 +134,8 @@
 				c.Close()
 			}
 			time.Sleep(20 * time.Second)
-			w.Gate.exit()
-			w.Gate.exit()
+			w.Gate.exit(0)
+			w.Gate.exit(0)
 			time.Sleep(time.Second)
 			if running, waiting := w.Gate.load(); (ran == 0) != given || running+waiting != 0 || w.Gate.Counts.GivenUp.Load() != 1 {
 				t.Errorf("given up: %v: it ran %d times; %d run and %d wait", given, ran, running, waiting)
--- a/internal/gangway/gate.go
+++ b/internal/gangway/gate.go
@@ -45,6 +45,7 @@
 	looked  time.Time // whether beats come
 	warmAt  time.Time
 	running int
+	ranks   [5]int // of running: by rank, the last for all beyond
 	queue   waits
 	order   int
 	kept    [4]kept            // places for those of each rank, from which those that rank behind are kept
@@ -94,6 +95,7 @@
 	lateBy      = 40 * time.Millisecond
 	keepMost    = 0.34        // of the capacity, that is kept free for those that rank before at the most
 	keepHalf    = time.Second // after which half of that is given back
+	behindPart  = 6           // one place in so many is for those that rank behind, while they wait: nobody starves
 	maxStrange  = 4           // answers to others that may come before the one that is wanted
 	maxEarly    = 32          // heads of status 1xx that may come ahead of it
 	maxAnswer   = 1 << 40
@@ -253,10 +255,63 @@
 
 // admit gives places to those that wait. The caller holds g.mu.
 func (g *Gate) admit() {
-	for len(g.queue) > 0 && g.running < g.limit(g.queue[0].rank) {
-		g.running++
-		heap.Pop(&g.queue).(*wait).ready <- plight.OK
+	for len(g.queue) > 0 && g.running < g.berth.Capacity {
+		w := g.queue[0]
+		if first, n := g.behind(); n > 0 && g.runBehind(w.rank) < g.berth.Capacity/behindPart {
+			w = first
+		} else if g.running >= g.limit(w.rank) {
+			return
+		}
+		heap.Remove(&g.queue, w.at)
+		g.begin(w.rank)
+		w.ready <- plight.OK
+	}
+}
+
+// begin counts one of a rank as running. The caller holds g.mu.
+func (g *Gate) begin(rank int) {
+	g.running++
+	g.ranks[min(max(rank, 0), len(g.ranks)-1)]++
+}
+
+// behind is the first that waits and ranks behind the one whose turn it is, and how many do. The caller holds g.mu.
+func (g *Gate) behind() (first *wait, n int) {
+	for _, w := range g.queue {
+		if w.rank <= g.queue[0].rank {
+			continue
+		}
+		if n++; first == nil || w.order < first.order {
+			first = w
+		}
+	}
+	return first, n
+}
+
+// runBehind is how many run that rank behind. The caller holds g.mu.
+func (g *Gate) runBehind(rank int) (n int) {
+	for r := max(rank, 0) + 1; r < len(g.ranks); r++ {
+		n += g.ranks[r]
+	}
+	return n
+}
+
+// crowded says whether no more of a rank may wait. One that ranks behind all others waits beside the line, where a place may come to it.
+// The caller holds g.mu.
+func (g *Gate) crowded(rank int) bool {
+	_, behind := g.behind()
+	line, beside := len(g.queue), g.berth.Capacity >= behindPart
+	if beside && behind == 1 {
+		line--
+	}
+	switch {
+	case float64(line) < queuePart*float64(g.berth.Capacity):
+		return false
+	case beside && behind == 0 && len(g.queue) > 0 && rank > g.queue[0].rank:
+		return false
+	case beside && behind == 1 && rank == g.queue[0].rank:
+		return true
 	}
+	return !g.makeRoom(rank)
 }
 
 // enter asks for a place at the backend, and waits for it for at most hold.
@@ -273,10 +328,10 @@
 		g.mu.Unlock()
 		return plight.Leaving
 	case g.running < g.limit(a.Rank):
-		g.running++
+		g.begin(a.Rank)
 		g.mu.Unlock()
 		return plight.OK
-	case a.Hold == 0 || float64(len(g.queue)) >= queuePart*float64(g.berth.Capacity) && !g.makeRoom(a.Rank):
+	case a.Hold == 0 || g.crowded(a.Rank):
 		g.keep(a.Rank)
 		g.mu.Unlock()
 		return plight.Full
@@ -356,11 +411,12 @@
 	return 0
 }
 
-// exit gives a place back, and tells what is there then.
-func (g *Gate) exit() (running, waiting int) {
+// exit gives back a place of one of a rank, and tells what is there then.
+func (g *Gate) exit(rank int) (running, waiting int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.running--
+	g.ranks[min(max(rank, 0), len(g.ranks)-1)]--
 	g.admit()
 	return g.running, len(g.queue)
 }
@@ -389,11 +445,11 @@
 	held := time.Since(came)
 	left := time.Duration(a.Left)*time.Millisecond - held
 	if left <= 0 {
-		g.exit()
+		g.exit(a.Rank)
 		return g.tell(outcome{told: told{Plight: plight.Overdue}})
 	}
 	if a.gone != nil && a.gone() {
-		g.exit()
+		g.exit(a.Rank)
 		g.Counts.GivenUp.Add(1)
 		return g.tell(outcome{told: told{Plight: plight.Overdue}})
 	}
@@ -407,9 +463,9 @@
 	o.Held = uint32(held.Milliseconds())
 	if o.answer != nil && o.answer.Rest != nil { // its place is free when it has gone on
 		end := o.answer.end
-		o.answer.end = func(whole bool) { end(whole); g.exit() }
+		o.answer.end = func(whole bool) { end(whole); g.exit(a.Rank) }
 	} else {
-		g.exit()
+		g.exit(a.Rank)
 	}
 	if a.Key != "" {
 		state, size := tally.Unknown, 0
--- a/internal/gangway/gate_test.go
+++ b/internal/gangway/gate_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"runtime"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -77,7 +79,7 @@
 	for _, waiting := g.load(); waiting == 0; _, waiting = g.load() {
 		runtime.Gosched()
 	}
-	g.exit()
+	g.exit(0)
 	if k := <-got; k != plight.OK {
 		t.Errorf("one that waited: %v", k)
 	}
@@ -97,7 +99,7 @@
 			runtime.Gosched()
 		}
 		end(id)
-		g.exit()
+		g.exit(1)
 		if k := <-got; k != plight.Leaving {
 			t.Errorf("one that waited when the backend left, way %d: %v", n, k)
 		}
@@ -141,7 +143,7 @@
 	if k := g.enter(ask(2)); k != plight.Full {
 		t.Errorf("one that ranks behind: %v", k)
 	}
-	g.exit()
+	g.exit(2)
 	if k := <-high; k != plight.OK {
 		t.Errorf("the one that ranked first: %v", k)
 	}
@@ -173,7 +175,7 @@
 			t.Errorf("places for the ranks 0, 1, 2: %v, want 10, 10 and, with a third kept, 7", got)
 		}
 		for range 3 {
-			g.exit()
+			g.exit(2)
 		}
 		if a, b, c := enter(2), enter(1), enter(0); a != plight.Full || b != plight.OK || c != plight.OK {
 			t.Errorf("with 7 of 10 taken, ranks 2, 1, 0 get: %v, %v, %v", a, b, c)
@@ -189,6 +191,46 @@
 	})
 }
 
+// While urgent ones take every place and fill the line, those that rank behind get a place of six, and no more.
+func TestNobodyStarvesAtAFullGate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(Options{Node: "n", Service: "ledger", GateAddr: "a:1", Life: 7, Begun: time.Now(), Heartbeat: time.Minute,
+			KeyWindow: time.Minute, AnswerBytes: 1 << 20, Log: func(string, string) {}})
+		defer g.book.End()
+		g.Beat(pilot.Beat{ID: "i-1", Service: "ledger", Capacity: 6, Count: 1, State: berths.Serving})
+		var served [3]atomic.Int64
+		var all sync.WaitGroup
+		const day = 10 * time.Second
+		began := time.Now()
+		for n := range 24 {
+			rank, work := 0, 22*time.Millisecond
+			if n%4 == 3 {
+				rank, work = 2, 72*time.Millisecond
+			}
+			all.Go(func() {
+				for time.Sleep(time.Duration(n) * time.Millisecond); time.Since(began) < day; time.Sleep(10 * time.Millisecond) {
+					if g.enter(&ask{Instance: "i-1", Service: "ledger", Rank: rank, Hold: 60}) == plight.OK {
+						time.Sleep(work)
+						g.exit(rank)
+						served[rank].Add(1)
+					}
+				}
+			})
+		}
+		all.Wait()
+		if running, waiting := g.load(); running != 0 || waiting != 0 || g.ranks != [5]int{} {
+			t.Errorf("at the end %d run, %v by rank, and %d wait", running, g.ranks, waiting)
+		}
+		// One place is 10 s / 72 ms = 139 runs of the last rank, and five are 2,270 of the first.
+		if n := served[2].Load(); n < 100 || n > 150 {
+			t.Errorf("of the last rank %d were served", n)
+		}
+		if n := served[0].Load(); n < 2000 {
+			t.Errorf("of the first rank %d were served", n)
+		}
+	})
+}
+
 // A client comes back soon where a place was lost to others, and later where something is out; never beyond the route's target.
 func TestComeBack(t *testing.T) {
 	v := &voyage{came: time.Now(), cut: time.Now().Add(10 * time.Second), route: &manifest.Route{Target: 400 * time.Millisecond}}
--- a/internal/gangway/loss_test.go
+++ b/internal/gangway/loss_test.go
@@ -103,7 +103,7 @@
 		w.Gate.mu.Lock()
 		w.Gate.running = 2 // all its places, for a while
 		w.Gate.mu.Unlock()
-		time.AfterFunc(200*time.Millisecond, func() { w.Gate.exit(); w.Gate.exit() })
+		time.AfterFunc(200*time.Millisecond, func() { w.Gate.exit(0); w.Gate.exit(0) })
 		ask(get, nil, "late_place", missed)
 		took, status = 0, 500
 		ask(get, nil, "failed_backend", missed)
