--- a/internal/tug/start_test.go
+++ b/internal/tug/start_test.go
@@ -171,7 +171,6 @@
 	for breakAt := int64(1); breakAt <= backends/4+1; breakAt++ {
 		synctest.Test(t, func(t *testing.T) {
 			s := sea.New(1)
-			var tellers []*teller
 			var cores []*sea.Machine
 			var ends []func()
 			var first atomic.Pointer[Tug]
@@ -203,7 +202,7 @@
 					whole = whole || !n.More && !n.Partial
 				}
 				h.serve(t, p, net.JoinHostPort(m.IP, fmt.Sprint(7380+codebook.HarbourPort)))
-				tellers, cores, ends = append(tellers, h), append(cores, m), append(ends, p.End)
+				cores, ends = append(cores, m), append(ends, p.End)
 			}
 			knows := func(g *Tug) (n int) {
 				g.mu.Lock()
