Signal: what a connection's writer has taken counts to the bound of its queue

Cause, not chance: the writer takes the whole queue and writes it without the lock, and the bound looked at what had come since alone. A peer that reads nothing could hold 64 MB of a process in place of 32, and where the writer took the queue with over 4 MB in it, 36 MB of the test never ended it. What the writer has taken and not written whole now counts.

--- a/internal/signal/signal.go
+++ b/internal/signal/signal.go
@@ -27,7 +27,7 @@
 const (
 	// MaxFrame is how many bytes one message may have.
 	MaxFrame  = 16 << 20
-	maxQueued = 32 << 20 // bytes that may wait to be written to one peer
+	maxQueued = 32 << 20 // bytes that may wait to be written to one peer, those that its writer holds among them
 	maxCalls  = 4096     // calls that may wait for one peer
 	headBytes = 10
 	// DialTime bounds how long a connection may take to come up.
@@ -66,10 +66,11 @@
 // link is one connection with its queue of bytes to be written.
 type link struct {
 	net.Conn
-	mu    sync.Mutex
-	out   []byte
-	wake  chan struct{}
-	ended bool
+	mu      sync.Mutex
+	out     []byte
+	writing int // bytes that the writer has taken and that are not written whole
+	wake    chan struct{}
+	ended   bool
 }
 
 func newLink(c net.Conn) *link {
@@ -85,7 +86,7 @@
 	if l.ended {
 		return
 	}
-	if len(l.out)+len(body) > maxQueued {
+	if l.writing+len(l.out)+len(body) > maxQueued {
 		go l.end()
 		return
 	}
@@ -105,7 +106,7 @@
 	for range l.wake {
 		l.mu.Lock()
 		out := l.out
-		l.out = spare[:0]
+		l.out, l.writing = spare[:0], len(out)
 		ended := l.ended
 		l.mu.Unlock()
 		if ended {
@@ -117,6 +118,9 @@
 				return
 			}
 		}
+		l.mu.Lock()
+		l.writing = 0
+		l.mu.Unlock()
 		if spare = out; cap(spare) > 64<<10 {
 			spare = nil
 		}
--- a/internal/signal/signal_test.go
+++ b/internal/signal/signal_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"encoding/binary"
-	"errors"
 	"io"
 	"net"
 	"runtime"
@@ -118,23 +117,35 @@
 	}
 }
 
-// A peer that reads nothing costs no more than the queue's bound: its connection ends, and nobody waits for it meanwhile.
+// A peer that reads nothing costs no more than the queue's bound: its connection ends, and nobody waits for it meanwhile. What the writer
+// has taken counts as what waits does, wherever in the queue it took it.
 func TestPeerThatDoesNotRead(t *testing.T) {
-	near, far := net.Pipe()
-	defer far.Close()
-	l := newLink(near)
+	const frames = maxQueued>>20 + 4
 	body := make([]byte, 1<<20)
-	for range maxQueued>>20 + 4 {
-		l.send(1, 1, plight.OK, body)
-	}
-	far.SetReadDeadline(time.Now().Add(20 * time.Second))
-	if _, err := io.Copy(io.Discard, far); errors.Is(err, io.ErrShortWrite) {
-		t.Error(err)
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.ended || len(l.out) > maxQueued {
-		t.Errorf("ended %v with %d bytes", l.ended, len(l.out))
+	for _, first := range []int{0, 1, frames / 2, frames - 5} { // frames that the writer has taken before the others come
+		near, far := net.Pipe()
+		defer far.Close()
+		l := newLink(near)
+		for range first {
+			l.send(1, 1, plight.OK, body)
+		}
+		if first > 0 {
+			if _, err := far.Read(make([]byte, 1)); err != nil { // the writer is amid its write
+				t.Fatal(err)
+			}
+		}
+		for range frames - first {
+			l.send(1, 1, plight.OK, body)
+		}
+		far.SetReadDeadline(time.Now().Add(20 * time.Second))
+		if n, err := io.Copy(io.Discard, far); err != nil {
+			t.Errorf("%d frames taken first: %v after %d bytes more", first, err, n)
+		}
+		l.mu.Lock()
+		if !l.ended || l.writing+len(l.out) > maxQueued {
+			t.Errorf("%d frames taken first: ended %v with %d bytes", first, l.ended, l.writing+len(l.out))
+		}
+		l.mu.Unlock()
 	}
 }
 
