Roll: an interrupted change is finished without the dead one's lease

Ruled out by a log of the plays: slow disks, books that are not handed over (9 ms). The duty only spares two from standing in each other's way; ballots decide.

Whoever has the duty still goes first, after 0.3 s; without it, whoever has waited 0.3 to 0.9 s, drawn anew each time. A second cause, seen in the same log: the first phase waited 0.35 s for the lost voter's promise, though a majority with an accepted successor was there.

--- a/internal/harbour/harbour.go
+++ b/internal/harbour/harbour.go
@@ -105,6 +105,7 @@
 	begun    time.Time
 	leases   map[duty.Name]*duty.Lease
 	shut     []time.Time     // by place: since when the member is sealed; zero: it is not
+	alone    time.Duration   // a member may be sealed for so long before this one finishes the change without the duty
 	decree   manifest.Ballot // the highest heard of, of the next roll
 	since    time.Time       // that this roll is watched
 	epoch    uint64          // of this roll
--- a/internal/harbour/rolls.go
+++ b/internal/harbour/rolls.go
@@ -31,15 +31,22 @@
 	haltTime    = 300 * time.Millisecond // a voter may be sealed for so long before the change counts as interrupted
 )
 
-// halted takes note whether a member is sealed: a change that was left in the middle is finished by whoever has the duty.
+// halted takes note whether a member is sealed: a change that was left in the middle is finished by whoever has the duty, or by the
+// first that has waited for that a while, drawn anew each time. The lease of one that died amid its change goes on for up to
+// duty.Span, in which no key is granted and no order taken; ballots decide where two finish it.
 func (b *books) halted(place int, shut bool, now time.Time) {
 	switch {
 	case !shut:
 		b.shut[place] = time.Time{}
+		return
 	case b.shut[place].IsZero():
 		b.shut[place] = now
-	case now.Sub(b.shut[place]) > haltTime && b.may(duty.Roll):
+		b.alone = haltTime + rand.N(2*haltTime)
+		return
+	}
+	if since := now.Sub(b.shut[place]); since > haltTime && (b.may(duty.Roll) || since > b.alone) {
 		b.shut[place] = now
+		b.alone = haltTime + rand.N(2*haltTime)
 		b.turn("an interrupted change", nil)
 	}
 }
@@ -356,7 +363,8 @@
 	}
 	err = gather(codebook.SucceedCall{Epoch: roll.Epoch, B: b}, func(a relief.Answer) bool {
 		r.Promise(a)
-		return false // all are heard: one may have accepted something
+		_, bound, ok := r.Base()
+		return ok && bound // else all are heard: one may have accepted something
 	})
 	next, bound, ok := r.Base()
 	defer func() {
