review/2: the answer to a long request is lost when its backend answers early

The proxy doesn't look for an answer before it has written the whole body, however late, and then takes the answer for a time-out: 200 becomes 504, long after the route's deadline-s (CONFIG).

--- a/review/rig/backend.go
+++ b/review/rig/backend.go
@@ -33,6 +33,7 @@
 	stop     chan struct{}
 	halted   chan struct{} // closed when no more beats are sent
 	work     func(path string) time.Duration
+	early    time.Duration // if above 0: answers a long request before it is in, and reads on so much later
 
 	mu      sync.Mutex
 	working int
@@ -142,7 +143,11 @@
 	if err != nil {
 		return false
 	}
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+	n := int64(1 << 62)
+	if b.early > 0 {
+		n = 64 << 10
+	}
+	if _, err := io.CopyN(io.Discard, r.Body, n); err != nil && err != io.EOF {
 		return false
 	}
 	id, key := r.Header.Get("Violetlatch-Attempt-Id"), r.Header.Get("Violetlatch-Operation-Key")
@@ -163,7 +168,7 @@
 		return declined(503)
 	}
 	b.working++
-	n := len(b.Runs) + 1
+	count := len(b.Runs) + 1
 	b.Runs = append(b.Runs, Run{time.Now(), id, key, b.Instance, r.URL.Path})
 	b.mu.Unlock()
 	b.on.m.rec.Note("backend %s: runs request %s, key %q, deadline %s", b.Instance, id, key, r.Header.Get("Violetlatch-Deadline-Remaining"))
@@ -172,7 +177,16 @@
 	b.working--
 	b.mu.Unlock()
 	body := "body of " + id + " by " + b.Instance + "\n"
-	_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nVioletlatch-Attempt-Id: %s\r\nVioletlatch-Server-Seal: %s.%s\r\nContent-Length: %d\r\n\r\n%s", id, b.Instance, strconv.Itoa(n), len(body), body)
+	if _, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nVioletlatch-Attempt-Id: %s\r\nVioletlatch-Server-Seal: %s.%s\r\nContent-Length: %d\r\n\r\n%s", id, b.Instance, strconv.Itoa(count), len(body), body); err != nil {
+		return false
+	}
+	b.on.m.rec.Note("backend %s: has answered request %s with 200", b.Instance, id)
+	if b.early == 0 {
+		return true
+	}
+	time.Sleep(b.early)
+	rest, err := io.Copy(io.Discard, r.Body)
+	b.on.m.rec.Note("backend %s: has read on for request %s: %d bytes, error %v", b.Instance, id, rest, err)
 	return err == nil
 }
 
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -22,12 +22,13 @@
 
 // try sends one request to the tug of a machine on a connection of its own.
 func try(x *Machine, method, path, id, key string, deadline time.Duration) Answer {
-	a := exchange(x, method, path, id, key, deadline)
+	a := exchange(x, method, path, id, key, deadline, nil)
 	x.m.rec.Note("client on %s: %s %s, request %s, key %q: status %d, seal %q, error %v", x.Name, method, path, id, key, a.Status, a.Seal, a.Err)
 	return a
 }
 
-func exchange(x *Machine, method, path, id, key string, deadline time.Duration) (a Answer) {
+// exchange sends a request with a body and reads the answer meanwhile, up to half a second past the deadline.
+func exchange(x *Machine, method, path, id, key string, deadline time.Duration, body []byte) (a Answer) {
 	c, err := net.DialTimeout("tcp4", x.Addr(outbound), time.Second)
 	if err != nil {
 		return Answer{Err: err}
@@ -39,21 +40,24 @@
 		head += "Violetlatch-Operation-Key: " + key + "\r\n"
 	}
 	if method != "GET" {
-		head += "Content-Length: 0\r\n"
+		head += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
 	if _, err := io.WriteString(c, head+"\r\n"); err != nil {
 		return Answer{Err: err}
 	}
+	if len(body) > 0 {
+		go c.Write(body) // ends with the connection at the latest
+	}
 	r, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		return Answer{Err: err}
 	}
 	defer r.Body.Close()
-	body, err := io.ReadAll(r.Body)
+	text, err := io.ReadAll(r.Body)
 	if err != nil {
 		return Answer{Err: err}
 	}
-	return Answer{Status: r.StatusCode, Seal: r.Header.Get("Violetlatch-Server-Seal"), Body: string(body)}
+	return Answer{Status: r.StatusCode, Seal: r.Header.Get("Violetlatch-Server-Seal"), Body: string(text)}
 }
 
 // item is one resource of a configuration.
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -9,7 +9,8 @@
 
 // cases are the plays by name. broken says whether the rule was broken.
 var cases = map[string]func(rec *Record, trouble bool) (broken bool, err error){
-	"late-beat": lateBeat,
+	"late-beat":    lateBeat,
+	"early-answer": earlyAnswer,
 }
 
 // main plays the case that is named first, and writes the record into the folder that is named second. The exit status is 1 if
