--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -11,6 +11,7 @@
 var cases = map[string]func(rec *Record, trouble bool) (broken bool, err error){
 	"late-beat":    lateBeat,
 	"early-answer": earlyAnswer,
+	"left-clients": leftClients,
 }
 
 // main plays the case that is named first, and writes the record into the folder that is named second. The exit status is 1 if
