review/2: longer bodies, so that no socket's buffers can hold one

Need: the case must not hang on how much the sockets of a machine hold.

32 MiB in place of 16, sent 0.4 s apart, so that the same play without the disruption stays far from its deadline.

--- a/review/rig/earlyanswer.go
+++ b/review/rig/earlyanswer.go
@@ -11,7 +11,7 @@
 	earlyDeadline = 2 * time.Second // deadline-s of the route
 	afterDeadline = 500 * time.Millisecond
 	readOnAfter   = 3500 * time.Millisecond
-	longBody      = 16 << 20 // a quarter of max-body-bytes
+	longBody      = 32 << 20 // half of max-body-bytes, and more than the sockets between hold
 )
 
 // earlyAnswer has backends answer long requests before these are in, keep the connection and read on later.
@@ -48,6 +48,7 @@
 	}
 	time.Sleep(contact + 500*time.Millisecond)
 	const requests = 8
+	body := make([]byte, longBody)
 	var served, unanswered, late atomic.Int64
 	var clients sync.WaitGroup
 	for i := range requests {
@@ -55,7 +56,7 @@
 		clients.Go(func() {
 			id := fmt.Sprintf("e%06d", i)
 			start := time.Now()
-			a := exchange(x, "POST", "/topup/a", id, "", 8*time.Second, make([]byte, longBody))
+			a := exchange(x, "POST", "/topup/a", id, "", 8*time.Second, body)
 			took := time.Since(start)
 			rec.Note("client on %s: request %s, %d bytes: status %d after %v, seal %q, error %v", x.Name, id, longBody, a.Status, took.Round(time.Millisecond), a.Seal, a.Err)
 			if a.Status == 200 {
@@ -68,7 +69,7 @@
 				late.Add(1)
 			}
 		})
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(400 * time.Millisecond)
 	}
 	clients.Wait()
 	rec.Note("%d requests sent, %d ran and were answered with 200 by their backends, %d clients got a 200; %d unanswered at deadline-s, %d of them half a second later",
