review/4: after a closing fault a late beat ends a running backend for good (RECOVER)

Shows: a backend crashes and starts again; all processes are killed right after an acknowledged change and come back; one beat of the former life arrives 2.4 s late. The proxy takes the running life for ended and drops its beats from then on, answering 200.

--- a/review/stage-2/backend.go
+++ b/review/stage-2/backend.go
@@ -51,6 +51,7 @@
 	running  int
 	ended    bool
 	seals    int
+	acks     []time.Time // of beats
 }
 
 // startBackend starts a backend on a sidecar machine, which reports every beatInterval.
@@ -88,13 +89,25 @@
 // report sends a beat, and reports whether it was acknowledged.
 func (b *backend) report(body string) bool {
 	status, _, err := call(http.MethodPut, "http://"+b.x.addr(portControl)+"/v1/instances/"+b.id, body)
-	return err == nil && status/100 == 2
+	if err != nil || status/100 != 2 {
+		return false
+	}
+	b.mu.Lock()
+	b.acks = append(b.acks, time.Now())
+	b.mu.Unlock()
+	return true
 }
 
-// leave sends DELETE, and reports whether it was acknowledged.
-func (b *backend) leave() bool {
-	status, _, err := call(http.MethodDelete, "http://"+b.x.addr(portControl)+"/v1/instances/"+b.id, "")
-	return err == nil && status/100 == 2
+// acknowledgedAfter returns how many beats were acknowledged after a time.
+func (b *backend) acknowledgedAfter(t time.Time) (n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, at := range b.acks {
+		if at.After(t) {
+			n++
+		}
+	}
+	return n
 }
 
 // end ends the backend: its connections close and its port refuses.
@@ -198,17 +211,6 @@
 	return err == nil
 }
 
-// seen returns a copy of the arrivals so far.
-func (b *backend) seen() []arrival {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var out []arrival
-	for _, a := range b.arrivals {
-		out = append(out, *a)
-	}
-	return out
-}
-
 // request is one try of a client.
 type request struct {
 	method, path, id, key string
--- a/review/stage-2/main.go
+++ b/review/stage-2/main.go
@@ -4,7 +4,6 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"os"
 	"time"
@@ -12,7 +11,7 @@
 
 // cases are the cases by name. Each returns what broke; an empty text if the rule held.
 var cases = map[string]func(rec *record, trouble bool) (broken string, err error){
-	"late-beat": lateBeat,
+	"former-life": formerLife,
 }
 
 func main() {
@@ -48,5 +47,3 @@
 	fmt.Println("held")
 	return 0
 }
-
-var errNotAcknowledged = errors.New("the backend got no acknowledgement")
--- a/review/stage-2/mesh.go
+++ b/review/stage-2/mesh.go
@@ -22,9 +22,6 @@
 const (
 	beatInterval = 1300 * time.Millisecond
 	contact      = 3 * time.Second
-	drain        = 2500 * time.Millisecond
-	grace        = 6 * time.Second
-	configApply  = 2500 * time.Millisecond
 )
 
 // Places of the ports on every machine, after the first one.
@@ -205,13 +202,6 @@
 	}
 }
 
-// signal sends a signal to one program of the machine.
-func (x *machine) signal(program string, s syscall.Signal) {
-	if cmd := x.procs[program]; cmd != nil {
-		cmd.Process.Signal(s)
-	}
-}
-
 // startAll starts all programs for the first time.
 func (m *mesh) startAll() error {
 	for _, x := range append(append([]*machine{}, m.cores...), m.sides...) {
@@ -224,6 +214,32 @@
 	return nil
 }
 
+// killAll kills all processes at the same moment and waits for their ends.
+func (m *mesh) killAll() {
+	for _, x := range append(append([]*machine{}, m.cores...), m.sides...) {
+		for _, cmd := range x.procs {
+			cmd.Process.Kill()
+		}
+	}
+	for _, x := range append(append([]*machine{}, m.cores...), m.sides...) {
+		for _, p := range x.programs() {
+			x.kill(p)
+		}
+	}
+}
+
+// startAgain starts all programs after they were killed. Their disks are kept.
+func (m *mesh) startAgain() error {
+	for _, x := range append(append([]*machine{}, m.cores...), m.sides...) {
+		for _, p := range x.programs() {
+			if err := x.start(p, false); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 // end kills all processes and removes the files.
 func (m *mesh) end() {
 	for _, x := range append(append([]*machine{}, m.cores...), m.sides...) {
@@ -231,11 +247,7 @@
 			x.kill(p)
 		}
 	}
-	if os.Getenv("STAGE_KEEP") == "" {
-		os.RemoveAll(m.dir)
-	} else {
-		fmt.Println("kept", m.dir)
-	}
+	os.RemoveAll(m.dir)
 }
 
 var operator = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
